core: set down the folders, the shape and the core types

The users ask for one shape in the whole code base, so it comes before any behaviour: a core that takes a message and a time and leaves messages on a list, and struct msg as the only thing that tasks and daemons exchange. Every failure carries a verdict from the start, because "not run" has to be true wherever it is said; adding it later would mean going through each error path again.

Weighed: separate structs per message with a common header against one tagged union. The union costs some bytes a message but lets one function own freeing, which the address sanitizer can check in one place.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,100 @@
+# cranberryway: "make" builds both programs, "make check" runs every test.
+#
+# SAN=1 builds with the address and undefined behaviour sanitizers, into
+# build-asan/.
+
+# V=1 shows the commands.
+ifneq ($(V),1)
+Q	= @
+endif
+
+CC	?= gcc
+CXX	?= g++
+SAN	?= 0
+LIBS	= libevent evhtp libprotobuf-c glib-2.0 libsodium inih libxxhash libbsd
+
+ifeq ($(SAN),1)
+B	= build-asan
+SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+OPT	= -O1
+else
+B	= build
+OPT	= -O2
+endif
+
+WARN	= -Wall -Wextra -Werror
+CPPFLAGS += -I. -D_GNU_SOURCE $(shell pkg-config --cflags $(LIBS))
+CFLAGS	+= -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS)
+CXXFLAGS += -std=gnu++17 -g $(OPT) $(WARN) -Wno-missing-field-initializers $(SANFLAGS)
+LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lm
+LDFLAGS	+= $(SANFLAGS)
+
+CORE	= balance catalog confstate control counters entry explain group hash \
+	  ledger limit membership msg node operate quota retry serve shed \
+	  tree types verdict
+WIRE	= context frame httpmap link.pb-c
+CONFIG	= ini settings text
+DAEMON	= decide front link log main operators platform target task
+CLI	= cranberryway lines request builtin/check builtin/diff \
+	  builtin/drain builtin/explain builtin/help builtin/key \
+	  builtin/log builtin/show builtin/status builtin/submit
+STANDIN	= standin-caller standin-platform standin-target
+TESTS	= $(patsubst t/%.cc,%,$(wildcard t/test-*.cc))
+BENCH	= $(patsubst bench/%.c,%,$(wildcard bench/bench-*.c))
+
+CORE_O	= $(CORE:%=$(B)/core/%.o)
+WIRE_O	= $(WIRE:%=$(B)/wire/%.o)
+CONFIG_O = $(CONFIG:%=$(B)/config/%.o)
+DAEMON_O = $(DAEMON:%=$(B)/daemon/%.o)
+CLI_O	= $(CLI:%=$(B)/cli/%.o)
+LIB_O	= $(CORE_O) $(WIRE_O) $(CONFIG_O)
+
+all: $(B)/cranberrywayd $(B)/cranberryway
+standins: $(STANDIN:%=$(B)/%)
+tests: $(TESTS:%=$(B)/%)
+benches: $(BENCH:%=$(B)/%)
+
+$(B)/cranberrywayd: $(DAEMON_O) $(LIB_O)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(B)/cranberryway: $(CLI_O) $(B)/daemon/log.o $(LIB_O)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(B)/standin-%: $(B)/t/standin-%.o $(B)/t/standin.o $(LIB_O)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(B)/test-%: $(B)/t/test-%.o $(B)/t/replay.o $(B)/cli/lines.o $(B)/daemon/task.o $(LIB_O)
+	$(Q)$(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lgtest -lgtest_main -lpthread
+$(B)/bench-%: $(B)/bench/bench-%.o $(B)/t/replay.o $(LIB_O)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(Q)$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+# Generated code is committed; this needs protoc-c.
+proto:
+	protoc-c --c_out=. wire/link.proto
+
+check: all standins tests
+	t/run-tests $(B)
+
+SOURCES	= $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
+format:
+	clang-format -i $(SOURCES)
+check-format:
+	clang-format --dry-run -Werror $(SOURCES)
+TIDY_SOURCES = $(shell git ls-files 'core/*.c' 'wire/*.c' 'config/*.c' 'daemon/*.c' 'cli/*.c' | grep -v pb-c)
+check-tidy:
+	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' sh
+# The core does no input or output, and knows no clock or thread.
+check-core:
+	! grep -nE '#include <(sys/socket|sys/stat|netinet|arpa|event2|evhtp|fcntl|pthread|unistd|time|sys/time|poll|signal)[./]' core/*.c core/*.h
+
+clean:
+	rm -rf build build-asan
+
+.PHONY: all standins tests benches check format check-format check-tidy check-core proto clean
+.SECONDARY:
--- /dev/null
+++ b/core/msg.h
@@ -0,0 +1,298 @@
+/*
+ * msg - the typed messages that tasks and daemons exchange
+ *
+ * The core takes one message and a time, and leaves messages on a list.
+ * A message belongs to whoever took it off a list; msg_destroy() frees it
+ * and all that it holds.  How a message is written on a link is wire/'s
+ * business; nothing here knows an encoding.
+ *
+ *	struct msg *m = msg_create(MSG_FORWARD);
+ *	m->peer = member->addr;
+ *	TAILQ_INSERT_TAIL(out, m, entry);
+ */
+#ifndef CORE_MSG_H
+#define CORE_MSG_H
+
+#include <bsd/sys/queue.h>
+
+#include "core/types.h"
+#include "core/verdict.h"
+
+#define SHARES_PER_MSG 64 /* organisations that one message speaks of */
+
+enum msg_kind {
+	/* between the front task and the core */
+	MSG_CALL, /* a caller's request */
+	MSG_CALL_GONE, /* that caller went away */
+	MSG_ANSWER, /* the answer to a caller */
+	/* between daemons */
+	MSG_FORWARD, /* one try of a call, entry to target's daemon */
+	MSG_REPLY, /* its outcome */
+	MSG_CANCEL, /* nobody waits for it any more */
+	MSG_ASK_FATE, /* what became of this id? */
+	MSG_FATE, /* the answer */
+	MSG_MEMBERS_ASK, /* heartbeat, lease request and subscription */
+	MSG_MEMBERS, /* lease grant and what the asked daemon knows */
+	MSG_HANDOVER, /* one ledger record of a daemon that leaves */
+	MSG_CONFIG_ASK, /* which version do you have? */
+	MSG_CONFIG, /* a version and its text */
+	MSG_SHARE_ASK, /* demand for rate, and a renewal */
+	MSG_SHARE, /* what the home grants */
+	/* between the link task and the core */
+	MSG_LINK_DOWN, /* a link was lost or could not be made */
+	/* between the core and the target task */
+	MSG_RUN, /* hand a call to the local target */
+	MSG_RUN_DONE, /* its outcome */
+	MSG_RUN_CANCEL, /* stop it */
+	MSG_ANNOUNCE, /* the local target is there, or leaves */
+	/* between the core and the platform task */
+	MSG_ROW_READ, /* read one row, or those with a prefix */
+	MSG_ROW_WRITE, /* write a row if its version is the given one */
+	MSG_ROW, /* a row read, or the outcome of a write */
+	/* between the operators' task and the core */
+	MSG_OPS, /* an operator's request */
+	MSG_OPS_REPLY,
+	MSG_KIND_COUNT,
+};
+
+struct request {
+	char method[METHOD_LEN];
+	char path[PATH_LEN];
+	struct buffer headers; /* "Name: value\r\n" lines, none of ours */
+	struct buffer body;
+};
+
+/* What all tries and sub-calls of one call tree have in common. */
+struct call_context {
+	uint64_t tree; /* identifies the call tree */
+	char org[NAME_LEN]; /* empty on a route that is open to all */
+	enum importance importance;
+	uint8_t level; /* 0 goes first among its class when shedding */
+	uint64_t deadline_ms; /* left to run when the message is sent */
+	uint32_t allowance; /* extra tries that came along */
+	uint64_t job; /* the daemon's number of the calling job */
+};
+
+/* The point in the order of importance below which calls are refused. */
+struct threshold {
+	uint8_t importance;
+	uint8_t level;
+};
+
+struct reply {
+	int status; /* the target's HTTP status; 0 on failure */
+	struct failure failure; /* REASON_NONE for a whole answer */
+	struct buffer headers;
+	struct buffer body;
+	uint32_t allowance; /* extra tries that were not used */
+	uint32_t tries; /* tries made below, this one included */
+	uint32_t retry_after_ms;
+	struct threshold threshold;
+	uint32_t load; /* the target's work per slot, in thousandths */
+	bool leaving;
+};
+
+struct call {
+	uint8_t key_hash[KEY_HASH_LEN];
+	bool has_key;
+	bool has_context;
+	bool context_bad; /* a context came and was not authentic */
+	bool local; /* came from the local target's host */
+	char id[ID_LEN]; /* the caller's id, or empty */
+	struct call_context context;
+	struct request request;
+};
+
+struct forward {
+	char service[NAME_LEN];
+	char id[ID_LEN];
+	bool idempotent;
+	uint64_t incarnation; /* of the target that the entry chose */
+	uint64_t config_version;
+	struct call_context context;
+	struct request request;
+};
+
+enum fate_state {
+	FATE_TOMBSTONE, /* was never seen and never will run */
+	FATE_RUNNING, /* its reply will follow */
+	FATE_RAN, /* the reply follows at once */
+	FATE_DOUBT, /* this daemon can not know */
+};
+
+struct fate {
+	char org[NAME_LEN];
+	char id[ID_LEN];
+	uint64_t seq; /* of the try that is asked about */
+	uint64_t incarnation; /* of the target that the try was sent to */
+	enum fate_state state;
+};
+
+enum member_state {
+	MEMBER_ALIVE,
+	MEMBER_LEAVING, /* takes no new work, finishes what it has */
+	MEMBER_LEFT, /* left in order and handed its ledger over */
+	MEMBER_GONE, /* silent for longer than its lease */
+};
+
+/* What one daemon says about one target of a service. */
+struct member_record {
+	struct addr addr;
+	uint64_t incarnation; /* wall time of its start, in ms */
+	uint64_t owner_from_ms; /* ids stamped from here on may be its own */
+	uint64_t ended_ms; /* when it left or was found gone, wall time */
+	enum member_state state;
+	uint32_t slots;
+	char dc[NAME_LEN];
+};
+
+struct members_ask {
+	char service[NAME_LEN];
+	uint64_t digest; /* of what the asking daemon knows */
+	uint64_t sent_us; /* its clock; comes back in the grant */
+	bool is_target; /* a target of the service, wants a grant */
+	struct member_record self;
+};
+
+struct members {
+	char service[NAME_LEN];
+	uint64_t sent_us;
+	bool granted;
+	uint64_t gone_digest; /* of the members that the grantor holds gone */
+	uint32_t load;
+	struct threshold threshold;
+	int count;
+	struct member_record *records; /* owned */
+};
+
+struct handover {
+	char service[NAME_LEN];
+	char org[NAME_LEN];
+	char id[ID_LEN];
+	bool last; /* no more records follow */
+	bool kept; /* the reply is there */
+	struct reply reply;
+};
+
+/*
+ * A version of the configuration, whole or as a change to the one before.
+ * A change keeps the first prefix and the last suffix bytes of the base
+ * text and puts text between them; digest is that of the whole result.
+ */
+struct config {
+	uint64_t version;
+	uint64_t digest;
+	uint64_t base; /* version that a change starts from; 0: whole */
+	uint64_t prefix;
+	uint64_t suffix;
+	uint64_t epoch; /* of the tree's root as the sender knows it */
+	uint64_t confirmed_ms; /* age of the last word from the platform */
+	struct addr redirect; /* ask there instead; zero: stay here */
+	bool accepted; /* the sender is the asker's parent */
+	struct buffer text; /* empty when the asker has the version */
+};
+
+struct share_item {
+	char org[NAME_LEN];
+	double rate; /* calls a second held, or granted */
+	double burst; /* calls held, or granted */
+	double tokens; /* calls given back, or given */
+	double demand; /* calls a second that the asker and below see */
+	uint64_t number; /* of the grant; in an ask, of the last one seen */
+};
+
+struct share {
+	uint64_t epoch; /* of the root's hold on the pool */
+	uint64_t incarnation; /* of the asking daemon */
+	uint64_t sent_us; /* the asker's clock; comes back */
+	uint64_t ttl_us; /* a grant lasts so long from sent_us */
+	int count;
+	struct share_item items[SHARES_PER_MSG];
+};
+
+struct announce {
+	char service[NAME_LEN];
+	uint16_t port; /* of the target, on the local host */
+	uint32_t slots; /* calls that the target says it runs at once */
+	bool leaving;
+};
+
+enum row_status {
+	ROW_FOUND,
+	ROW_ABSENT,
+	ROW_WRITTEN,
+	ROW_CONFLICT, /* the version was another; it is given */
+	ROW_UNKNOWN, /* no answer: a write may have taken effect */
+};
+
+struct row {
+	char key[256];
+	uint64_t version;
+	bool prefix; /* read all rows whose key begins so */
+	enum row_status status;
+	struct buffer value; /* for a prefix: "key version value\n" lines */
+};
+
+enum ops_verb {
+	OPS_STATUS,
+	OPS_EXPLAIN,
+	OPS_DRAIN,
+	OPS_SHOW,
+	OPS_SUBMIT,
+	OPS_LOG,
+};
+
+struct ops {
+	enum ops_verb verb;
+	char argument[ID_LEN];
+	char who[NAME_LEN];
+	uint64_t version; /* the one that a submission was made from */
+	int status; /* HTTP status of a reply */
+	struct buffer text;
+};
+
+struct msg {
+	TAILQ_ENTRY(msg) entry;
+	enum msg_kind kind;
+	struct addr peer; /* the daemon it came from or goes to */
+	uint64_t seq; /* pairs a request with its reply */
+	uint64_t cost_us; /* for MSG_RUN_DONE: how long the target took */
+	bool sent; /* for MSG_LINK_DOWN: bytes may have left */
+	bool queued_only; /* for MSG_CANCEL: leave it if it runs */
+	union {
+		struct call call;
+		struct reply reply;
+		struct forward forward;
+		struct fate fate;
+		struct members_ask members_ask;
+		struct members members;
+		struct handover handover;
+		struct config config;
+		struct share share;
+		struct announce announce;
+		struct row row;
+		struct ops ops;
+	} u;
+};
+
+TAILQ_HEAD(msg_list, msg);
+
+struct msg *msg_create(enum msg_kind);
+void msg_destroy(struct msg *);
+/* Create a message for a peer and append it to the list. */
+struct msg *msg_emit(
+    struct msg_list *, enum msg_kind, struct addr peer, uint64_t seq);
+/* Destroy every message of a list. */
+void msg_list_clear(struct msg_list *);
+const char *msg_kind_name(enum msg_kind);
+
+void request_move(struct request *dst, struct request *src);
+void request_copy(struct request *dst, const struct request *src);
+void request_release(struct request *);
+void reply_move(struct reply *dst, struct reply *src);
+void reply_copy(struct reply *dst, const struct reply *src);
+void reply_release(struct reply *);
+/* Make a failed reply out of an empty one. */
+void reply_fail(struct reply *, struct failure);
+
+#endif
--- /dev/null
+++ b/core/types.c
@@ -0,0 +1,76 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/types.h"
+
+bool
+addr_equal(struct addr a, struct addr b)
+{
+	return a.ip == b.ip && a.port == b.port;
+}
+
+int
+addr_cmp(struct addr a, struct addr b)
+{
+	if (a.ip != b.ip)
+		return a.ip < b.ip ? -1 : 1;
+	return a.port < b.port ? -1 : a.port > b.port;
+}
+
+uint64_t
+addr_hash(struct addr a)
+{
+	return hash_mix(((uint64_t)a.ip << 16) | a.port);
+}
+
+void
+buffer_set(struct buffer *b, const void *data, size_t len)
+{
+	char *copy = xcalloc(1, len + 1);
+
+	if (len > 0)
+		memcpy(copy, data, len);
+	free(b->data);
+	b->data = copy;
+	b->len = len;
+}
+
+void
+buffer_move(struct buffer *dst, struct buffer *src)
+{
+	buffer_release(dst);
+	*dst = *src;
+	src->data = NULL;
+	src->len = 0;
+}
+
+void
+buffer_release(struct buffer *b)
+{
+	free(b->data);
+	b->data = NULL;
+	b->len = 0;
+}
+
+void
+name_copy(char *dst, const char *src, size_t n)
+{
+	size_t len = strlen(src);
+
+	if (len >= n)
+		len = n - 1;
+	memcpy(dst, src, len);
+	dst[len] = '\0';
+}
+
+void *
+xcalloc(size_t n, size_t size)
+{
+	void *p = calloc(n, size);
+
+	if (p == NULL)
+		abort();
+	return p;
+}
