--- /dev/null
+++ b/core/catalog.c
@@ -0,0 +1,225 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/catalog.h"
+
+static int
+service_cmp(struct service *a, struct service *b)
+{
+	return strcmp(a->name, b->name);
+}
+
+/* sodium_compare() takes the same time wherever the bytes differ. */
+static int
+api_key_cmp(struct api_key *a, struct api_key *b)
+{
+	return sodium_compare(a->hash, b->hash, KEY_HASH_LEN);
+}
+
+static int
+organisation_cmp(struct organisation *a, struct organisation *b)
+{
+	return strcmp(a->name, b->name);
+}
+
+static int
+route_cmp(struct route *a, struct route *b)
+{
+	return strcmp(a->prefix, b->prefix);
+}
+
+RB_GENERATE(service_tree, service, entry, service_cmp);
+RB_GENERATE(api_key_tree, api_key, entry, api_key_cmp);
+RB_GENERATE(organisation_tree, organisation, entry, organisation_cmp);
+RB_GENERATE(route_tree, route, entry, route_cmp);
+
+struct catalog *
+catalog_create(void)
+{
+	struct catalog *c = xcalloc(1, sizeof(*c));
+
+	RB_INIT(&c->services);
+	RB_INIT(&c->keys);
+	RB_INIT(&c->orgs);
+	RB_INIT(&c->routes);
+	return c;
+}
+
+static void
+service_destroy(struct service *s)
+{
+	struct dependency *d;
+
+	while ((d = TAILQ_FIRST(&s->depends)) != NULL) {
+		TAILQ_REMOVE(&s->depends, d, entry);
+		free(d);
+	}
+	free(s);
+}
+
+void
+catalog_destroy(struct catalog *c)
+{
+	struct service *s;
+	struct api_key *k;
+	struct organisation *o;
+	struct route *r;
+
+	if (c == NULL)
+		return;
+	while ((s = RB_ROOT(&c->services)) != NULL) {
+		RB_REMOVE(service_tree, &c->services, s);
+		service_destroy(s);
+	}
+	while ((k = RB_ROOT(&c->keys)) != NULL) {
+		RB_REMOVE(api_key_tree, &c->keys, k);
+		free(k);
+	}
+	while ((o = RB_ROOT(&c->orgs)) != NULL) {
+		RB_REMOVE(organisation_tree, &c->orgs, o);
+		free(o);
+	}
+	while ((r = RB_ROOT(&c->routes)) != NULL) {
+		RB_REMOVE(route_tree, &c->routes, r);
+		free(r);
+	}
+	free(c);
+}
+
+struct service *
+catalog_add_service(struct catalog *c, const char *name)
+{
+	struct service *s = xcalloc(1, sizeof(*s));
+
+	TAILQ_INIT(&s->depends);
+	name_copy(s->name, name, sizeof(s->name));
+	if (RB_INSERT(service_tree, &c->services, s) != NULL) {
+		free(s);
+		return NULL;
+	}
+	return s;
+}
+
+struct organisation *
+catalog_add_organisation(struct catalog *c, const char *name)
+{
+	struct organisation *o = xcalloc(1, sizeof(*o));
+
+	name_copy(o->name, name, sizeof(o->name));
+	if (RB_INSERT(organisation_tree, &c->orgs, o) != NULL) {
+		free(o);
+		return NULL;
+	}
+	return o;
+}
+
+struct route *
+catalog_add_route(struct catalog *c, const char *prefix)
+{
+	struct route *r = xcalloc(1, sizeof(*r));
+
+	name_copy(r->prefix, prefix, sizeof(r->prefix));
+	r->importance = IMPORTANCE_NORMAL;
+	if (RB_INSERT(route_tree, &c->routes, r) != NULL) {
+		free(r);
+		return NULL;
+	}
+	return r;
+}
+
+struct api_key *
+catalog_add_key(struct catalog *c, struct organisation *o, const uint8_t *hash)
+{
+	struct api_key *k = xcalloc(1, sizeof(*k));
+
+	k->org = o;
+	memcpy(k->hash, hash, KEY_HASH_LEN);
+	if (RB_INSERT(api_key_tree, &c->keys, k) != NULL) {
+		free(k);
+		return NULL;
+	}
+	return k;
+}
+
+void
+service_add_dependency(struct service *s, struct service *on)
+{
+	struct dependency *d = xcalloc(1, sizeof(*d));
+
+	d->service = on;
+	TAILQ_INSERT_TAIL(&s->depends, d, entry);
+}
+
+struct service *
+catalog_service(struct catalog *c, const char *name)
+{
+	struct service want;
+
+	name_copy(want.name, name, sizeof(want.name));
+	return RB_FIND(service_tree, &c->services, &want);
+}
+
+struct organisation *
+catalog_organisation(struct catalog *c, const char *name)
+{
+	struct organisation want;
+
+	name_copy(want.name, name, sizeof(want.name));
+	return RB_FIND(organisation_tree, &c->orgs, &want);
+}
+
+struct organisation *
+catalog_key_owner(struct catalog *c, const uint8_t *hash)
+{
+	struct api_key want, *k;
+
+	memcpy(want.hash, hash, KEY_HASH_LEN);
+	k = RB_FIND(api_key_tree, &c->keys, &want);
+	return k != NULL ? k->org : NULL;
+}
+
+struct route *
+catalog_route(struct catalog *c, const char *path)
+{
+	struct route want, *r;
+	char *end;
+
+	name_copy(want.prefix, path, sizeof(want.prefix));
+	want.prefix[strcspn(want.prefix, "?")] = '\0';
+	for (;;) {
+		r = RB_FIND(route_tree, &c->routes, &want);
+		if (r != NULL)
+			return r;
+		end = strrchr(want.prefix, '/');
+		if (end == NULL || strcmp(want.prefix, "/") == 0)
+			return NULL;
+		end[end == want.prefix ? 1 : 0] = '\0';
+	}
+}
+
+bool
+service_depends_on(const struct service *s, const struct service *on)
+{
+	const struct dependency *d;
+
+	TAILQ_FOREACH (d, &s->depends, entry) {
+		if (d->service == on)
+			return true;
+	}
+	return false;
+}
+
+double
+catalog_dc_part(const struct catalog *c, const char *dc)
+{
+	double sum = 0, own = 0;
+	int i;
+
+	for (i = 0; i < c->ndcs; i++) {
+		sum += c->dcs[i].weight;
+		if (strcmp(c->dcs[i].name, dc) == 0)
+			own = c->dcs[i].weight;
+	}
+	return sum > 0 ? own / sum : 0;
+}
--- /dev/null
+++ b/core/confstate.c
@@ -0,0 +1,132 @@
+#include <string.h>
+
+#include "core/confstate.h"
+#include "core/hash.h"
+
+void
+confstate_init(struct confstate *cs, const struct catalog_parser *parser)
+{
+	memset(cs, 0, sizeof(*cs));
+	cs->parser = parser;
+}
+
+void
+confstate_release(struct confstate *cs)
+{
+	catalog_destroy(cs->catalog);
+	buffer_release(&cs->text);
+	buffer_release(&cs->last_text);
+}
+
+uint64_t
+confstate_digest(const char *text, size_t len)
+{
+	return hash_bytes(text, len);
+}
+
+static bool
+build_text(
+    const struct confstate *cs, const struct config *c, struct buffer *text)
+{
+	size_t len = c->prefix + c->text.len + c->suffix;
+
+	if (c->base == 0) {
+		buffer_set(text, c->text.data, c->text.len);
+		return true;
+	}
+	if (c->base != cs->version || c->prefix > cs->text.len ||
+	    c->suffix > cs->text.len - c->prefix)
+		return false;
+	text->data = xcalloc(1, len + 1);
+	text->len = len;
+	memcpy(text->data, cs->text.data, c->prefix);
+	if (c->text.len > 0)
+		memcpy(text->data + c->prefix, c->text.data, c->text.len);
+	memcpy(text->data + len - c->suffix,
+	    cs->text.data + cs->text.len - c->suffix, c->suffix);
+	return true;
+}
+
+static enum conf_verdict
+adopt(struct confstate *cs, const struct config *c, struct buffer *text)
+{
+	struct catalog *catalog;
+
+	catalog =
+	    cs->parser->parse(text->data, text->len, cs->err, sizeof(cs->err));
+	if (catalog == NULL)
+		return CONF_REFUSED;
+	catalog_destroy(cs->catalog);
+	cs->catalog = catalog;
+	cs->last_version = cs->version;
+	buffer_move(&cs->last_text, &cs->text);
+	buffer_move(&cs->text, text);
+	cs->version = c->version;
+	cs->digest = c->digest;
+	return CONF_ADOPTED;
+}
+
+enum conf_verdict
+confstate_offer(
+    struct confstate *cs, const struct config *c, struct instant now)
+{
+	uint64_t age_us = c->confirmed_ms * MSEC_US;
+	struct buffer text = {NULL, 0};
+	enum conf_verdict ret;
+
+	if (c->version < cs->version)
+		return CONF_OLD;
+	if (age_us <= now.mono_us && now.mono_us - age_us > cs->confirmed_us)
+		cs->confirmed_us = now.mono_us - age_us;
+	if (c->version == cs->version)
+		return CONF_SAME;
+	if (!build_text(cs, c, &text))
+		return CONF_NEED_WHOLE;
+	if (confstate_digest(text.data, text.len) != c->digest)
+		ret = c->base != 0 ? CONF_NEED_WHOLE : CONF_REFUSED;
+	else
+		ret = adopt(cs, c, &text);
+	buffer_release(&text);
+	return ret;
+}
+
+static size_t
+common_prefix(const struct buffer *a, const struct buffer *b)
+{
+	size_t n = a->len < b->len ? a->len : b->len, i = 0;
+
+	while (i < n && a->data[i] == b->data[i])
+		i++;
+	return i;
+}
+
+static size_t
+common_suffix(const struct buffer *a, const struct buffer *b, size_t prefix)
+{
+	size_t n = (a->len < b->len ? a->len : b->len) - prefix, i = 0;
+
+	while (i < n && a->data[a->len - 1 - i] == b->data[b->len - 1 - i])
+		i++;
+	return i;
+}
+
+void
+confstate_fill(
+    const struct confstate *cs, struct config *c, uint64_t have_version)
+{
+	const struct buffer *old = &cs->last_text, *new = &cs->text;
+
+	c->version = cs->version;
+	c->digest = cs->digest;
+	if (have_version >= cs->version)
+		return;
+	if (have_version == 0 || have_version != cs->last_version) {
+		buffer_set(&c->text, new->data, new->len);
+		return;
+	}
+	c->base = have_version;
+	c->prefix = common_prefix(old, new);
+	c->suffix = common_suffix(old, new, c->prefix);
+	buffer_set(
+	    &c->text, new->data + c->prefix, new->len - c->prefix - c->suffix);
+}
--- /dev/null
+++ b/core/control.c
@@ -0,0 +1,478 @@
+/*
+ * The tree of a data centre's daemons: who is the root, which version of
+ * the configuration is in force, and shares of the organisations' rates.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/node_impl.h"
+
+#define CLAIM_AGAIN_US (2 * SEC_US)
+#define SETTLE_US (QUOTA_TTL_US + 2 * QUOTA_MARGIN_US)
+#define STALE_US (20 * SEC_US)
+#define FREEZE_US (2 * SEC_US) /* a gap between ticks that is a freeze */
+
+static void
+root_key(struct node *n, char *key, size_t len)
+{
+	snprintf(key, len, "control/%s", n->setup.dc);
+}
+
+static void
+set_totals(struct node *n)
+{
+	struct catalog *c = n->conf.catalog;
+	struct organisation *o;
+	double part;
+
+	if (c == NULL)
+		return;
+	part = catalog_dc_part(c, n->setup.dc);
+	RB_FOREACH (o, organisation_tree, &c->orgs)
+		quota_set_total(
+		    n->quota, o->name, o->rate * part, o->burst * part);
+}
+
+/* A name that is in the old catalog only has no rate any more. */
+static void
+clear_totals(struct node *n)
+{
+	struct organisation *o;
+
+	if (n->conf.catalog == NULL)
+		return;
+	RB_FOREACH (o, organisation_tree, &n->conf.catalog->orgs)
+		quota_set_total(n->quota, o->name, 0, 0);
+}
+
+static void
+send_config(struct node *n, struct addr to, uint64_t have_version,
+    struct instant now, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_CONFIG, to, node_seq(n));
+	struct config *c = &m->u.config;
+
+	confstate_fill(&n->conf, c, have_version);
+	c->epoch = n->tree.epoch;
+	c->confirmed_ms = (now.mono_us - n->conf.confirmed_us) / MSEC_US;
+}
+
+static void
+spread(struct node *n, struct addr except, struct instant now,
+    struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+	struct tree_child *c;
+
+	TAILQ_FOREACH (c, &t->children, entry) {
+		if (addr_equal(c->addr, except))
+			continue;
+		send_config(n, c->addr, c->version, now, out);
+		c->version = n->conf.version;
+	}
+	if (addr_is_set(t->parent) && !addr_equal(t->parent, except))
+		send_config(n, t->parent, n->conf.last_version, now, out);
+}
+
+static enum conf_verdict
+offer(struct node *n, const struct config *c, struct addr from,
+    struct instant now, struct msg_list *out)
+{
+	enum conf_verdict ret;
+	bool newer = c->version > n->conf.version;
+
+	if (newer)
+		clear_totals(n);
+	ret = confstate_offer(&n->conf, c, now);
+	if (newer)
+		set_totals(n);
+	if (ret == CONF_REFUSED)
+		n->counters.values[COUNT_CONFIG_REJECTED]++;
+	if (ret != CONF_ADOPTED)
+		return ret;
+	n->counters.values[COUNT_CONFIG_ADOPTED]++;
+	spread(n, from, now, out);
+	entry_recheck(n, now, out);
+	return ret;
+}
+
+static void
+become_root(struct node *n, struct instant now)
+{
+	struct tree *t = &n->tree;
+	struct addr none = {0, 0};
+
+	if (t->is_root)
+		return;
+	t->is_root = true;
+	t->dead_root = false;
+	tree_set_parent(t, none, now.mono_us);
+	set_totals(n);
+	/* Nobody else can have granted in the first epoch or in our own. */
+	quota_set_root(n->quota, true,
+	    t->epoch <= 1 || t->epoch == t->held_epoch
+		? 0
+		: now.mono_us + SETTLE_US);
+	t->held_epoch = t->epoch;
+}
+
+static void
+step_down(struct node *n)
+{
+	if (!n->tree.is_root)
+		return;
+	n->tree.is_root = false;
+	quota_set_root(n->quota, false, 0);
+}
+
+static void
+go_to_root(struct node *n, struct instant now)
+{
+	struct tree *t = &n->tree;
+
+	t->hops = 0;
+	quota_reparent(n->quota);
+	tree_set_parent(t, t->root, now.mono_us);
+}
+
+static void
+root_row(struct node *n, struct row *row, struct instant now)
+{
+	struct tree *t = &n->tree;
+	struct addr root, old = t->root;
+	uint64_t incarnation;
+	unsigned int port;
+	bool own;
+
+	t->answered_us = now.mono_us;
+	if (row->version < t->row_version)
+		return;
+	t->row_version = row->version;
+	if (row->status != ROW_FOUND ||
+	    sscanf(row->value.data, "%" SCNu32 ":%u:%" SCNu64, &root.ip, &port,
+		&incarnation) != 3) {
+		t->dead_root = true;
+		return;
+	}
+	root.port = port;
+	own = addr_equal(root, n->setup.self);
+	if (own && incarnation != n->setup.incarnation) {
+		/* An earlier life of ours was the root. */
+		t->dead_root = true;
+		return;
+	}
+	if (row->version == t->epoch && addr_equal(root, t->root))
+		return;
+	t->epoch = row->version;
+	t->root = root;
+	t->dead_root = false;
+	if (own) {
+		become_root(n, now);
+		return;
+	}
+	step_down(n);
+	/* Who has another parent stays with it. */
+	if (!t->accepted || addr_equal(t->parent, old))
+		go_to_root(n, now);
+}
+
+static void
+config_row(
+    struct node *n, struct row *row, struct instant now, struct msg_list *out)
+{
+	struct config c;
+
+	memset(&c, 0, sizeof(c));
+	n->conf.confirmed_us = now.mono_us;
+	if (row->status != ROW_FOUND || row->version <= n->conf.version)
+		return;
+	c.version = row->version;
+	c.digest = confstate_digest(row->value.data, row->value.len);
+	c.text = row->value;
+	offer(n, &c, n->setup.self, now, out);
+}
+
+void
+control_row(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct row *row = &msg->u.row;
+
+	if (row->status == ROW_UNKNOWN) {
+		n->tree.failed_us = now.mono_us;
+		return;
+	}
+	if (strcmp(row->key, "config") == 0) {
+		if (row->status == ROW_FOUND || row->status == ROW_ABSENT)
+			config_row(n, row, now, out);
+	} else if (row->status == ROW_FOUND || row->status == ROW_ABSENT) {
+		root_row(n, row, now);
+	} else {
+		/* Our claim was decided: read who is the root. */
+		node_read_row(n, row->key, false, out);
+	}
+}
+
+void
+control_ask(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct config *ask = &msg->u.config;
+	struct tree *t = &n->tree;
+	struct addr redirect = {0, 0};
+	struct msg *m;
+	bool admitted;
+
+	if (ask->epoch > t->epoch)
+		t->read_us = 0;
+	admitted = tree_admit(
+	    t, msg->peer, ask->version, now.mono_us, &n->rng, &redirect);
+	m = msg_emit(out, MSG_CONFIG, msg->peer, msg->seq);
+	confstate_fill(&n->conf, &m->u.config, ask->version);
+	m->u.config.epoch = t->epoch;
+	m->u.config.confirmed_ms =
+	    (now.mono_us - n->conf.confirmed_us) / MSEC_US;
+	m->u.config.accepted = admitted;
+	m->u.config.redirect = redirect;
+}
+
+static void
+follow(struct node *n, const struct config *c, struct addr from,
+    struct instant now)
+{
+	struct tree *t = &n->tree;
+
+	if (!addr_equal(from, t->parent) || t->is_root)
+		return;
+	t->heard_us = now.mono_us;
+	if (c->accepted) {
+		t->accepted = true;
+		if (addr_equal(from, t->root))
+			t->dead_root = false;
+		return;
+	}
+	if (!addr_is_set(c->redirect) ||
+	    addr_equal(c->redirect, n->setup.self) || ++t->hops > TREE_MAX_HOPS)
+		return;
+	quota_reparent(n->quota);
+	tree_set_parent(t, c->redirect, now.mono_us);
+}
+
+static void
+emit_config_ask(
+    struct node *n, struct addr to, uint64_t version, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_CONFIG_ASK, to, node_seq(n));
+
+	m->u.config.version = version;
+	m->u.config.epoch = n->tree.epoch;
+}
+
+void
+control_config(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct config *c = &msg->u.config;
+	struct tree_child *child;
+
+	follow(n, c, msg->peer, now);
+	if (c->epoch > n->tree.epoch)
+		n->tree.read_us = 0;
+	child = tree_child(&n->tree, msg->peer);
+	if (child != NULL && child->version < c->version)
+		child->version = c->version;
+	if (offer(n, c, msg->peer, now, out) == CONF_NEED_WHOLE)
+		emit_config_ask(n, msg->peer, 0, out);
+}
+
+void
+control_share_ask(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct msg *m;
+
+	/* One that is not our child any more must not be granted twice. */
+	if (tree_child(&n->tree, msg->peer) == NULL)
+		return;
+	m = msg_emit(out, MSG_SHARE, msg->peer, msg->seq);
+	quota_grant(n->quota, msg->peer, &msg->u.share, now, &m->u.share);
+	m->u.share.epoch = n->tree.epoch;
+	if (quota_wants(n->quota, now))
+		control_shortage(n, now, out);
+}
+
+void
+control_share(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	if (!addr_equal(msg->peer, n->tree.parent))
+		return;
+	n->tree.heard_us = now.mono_us;
+	quota_granted(n->quota, &msg->u.share, now);
+	entry_wake(n, now, out);
+}
+
+void
+control_link_down(struct node *n, struct addr peer, struct instant now)
+{
+	struct tree *t = &n->tree;
+
+	tree_remove_child(t, peer);
+	if (!addr_equal(peer, t->parent))
+		return;
+	quota_reparent(n->quota);
+	/* Half of the patience is gone: a broken link is a strong sign. */
+	if (t->heard_us + TREE_SILENT_US / 2 > now.mono_us)
+		t->heard_us = now.mono_us - TREE_SILENT_US / 2;
+}
+
+void
+control_shortage(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+	struct msg *m;
+
+	if (t->is_root || !addr_is_set(t->parent) || !t->accepted)
+		return;
+	m = msg_create(MSG_SHARE_ASK);
+	if (quota_ask(n->quota, now, &m->u.share) == 0) {
+		msg_destroy(m);
+		return;
+	}
+	m->peer = t->parent;
+	m->seq = node_seq(n);
+	m->u.share.incarnation = n->setup.incarnation;
+	n->counters.values[COUNT_SHARE_ASKS]++;
+	TAILQ_INSERT_TAIL(out, m, entry);
+}
+
+/* The root's row by compare-and-set; the row's next version is our epoch. */
+static void
+claim_root(struct node *n, struct instant now, struct msg_list *out)
+{
+	char key[256], value[64];
+
+	if (n->tree.claimed_us != 0 &&
+	    now.mono_us - n->tree.claimed_us < CLAIM_AGAIN_US)
+		return;
+	n->tree.claimed_us = now.mono_us;
+	root_key(n, key, sizeof(key));
+	snprintf(value, sizeof(value), "%" PRIu32 ":%u:%" PRIu64,
+	    n->setup.self.ip, n->setup.self.port, n->setup.incarnation);
+	node_write_row(n, key, n->tree.row_version, value, strlen(value), out);
+}
+
+static void
+read_platform(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+	bool reader = t->is_root || !addr_is_set(t->parent) || t->dead_root ||
+		      addr_equal(t->parent, t->root) || n->conf.version == 0;
+	char key[256];
+
+	/* One that hears of no confirmation may sit in a cut-off branch. */
+	if (!reader && t->read_us != 0 &&
+	    (now.mono_us - n->conf.confirmed_us < STALE_US ||
+		now.mono_us - t->read_us < STALE_US))
+		return;
+	if (t->read_us != 0 && now.mono_us - t->read_us < TREE_READ_US)
+		return;
+	t->read_us = now.mono_us;
+	root_key(n, key, sizeof(key));
+	node_read_row(n, key, false, out);
+	node_read_row(n, "config", false, out);
+}
+
+static void
+parent_lost(struct node *n, struct instant now)
+{
+	struct tree *t = &n->tree;
+
+	if (addr_equal(t->parent, t->root)) {
+		t->dead_root = true;
+		t->heard_us = now.mono_us;
+		t->accepted = false;
+		return;
+	}
+	go_to_root(n, now);
+}
+
+static void
+ask_seeds(struct node *n, struct msg_list *out)
+{
+	int i;
+
+	for (i = 0; i < n->setup.nseeds; i++)
+		emit_config_ask(n, n->seeds[i], n->conf.version, out);
+}
+
+static void
+tend_parent(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+
+	if (t->is_root)
+		return;
+	if (!addr_is_set(t->parent)) {
+		if (n->conf.version == 0 &&
+		    now.mono_us - t->asked_us >= TREE_ASK_US) {
+			t->asked_us = now.mono_us;
+			ask_seeds(n, out);
+		}
+		return;
+	}
+	if (now.mono_us - t->heard_us > TREE_SILENT_US)
+		parent_lost(n, now);
+	if (now.mono_us - t->asked_us < TREE_ASK_US)
+		return;
+	t->asked_us = now.mono_us;
+	emit_config_ask(n, t->parent, n->conf.version, out);
+	control_shortage(n, now, out);
+}
+
+/*
+ * A root that was frozen may have been replaced: it holds nothing until
+ * the platform has said that it is the root still.
+ */
+static void
+notice_freeze(struct node *n, struct instant now)
+{
+	if (n->last_tick_us == 0 || now.mono_us - n->last_tick_us < FREEZE_US)
+		return;
+	if (n->tree.is_root) {
+		step_down(n);
+		n->tree.epoch = 0;
+		n->tree.row_version = 0;
+	}
+	n->tree.read_us = 0;
+}
+
+/* With neither parent nor platform to ask, go on within what is held. */
+static void
+hold_when_cut_off(struct node *n, struct instant now)
+{
+	struct tree *t = &n->tree;
+
+	if (t->is_root || !t->dead_root)
+		return;
+	if (t->failed_us > t->answered_us &&
+	    now.mono_us - t->failed_us < FREEZE_US)
+		quota_hold(n->quota, now);
+}
+
+void
+control_tick(struct node *n, struct instant now, struct msg_list *out)
+{
+	notice_freeze(n, now);
+	read_platform(n, now, out);
+	tend_parent(n, now, out);
+	if (n->tree.dead_root && n->tree.answered_us > n->tree.failed_us)
+		claim_root(n, now, out);
+	hold_when_cut_off(n, now);
+	tree_tick(&n->tree, now.mono_us);
+	quota_tick(n->quota, now);
+	if (quota_wants(n->quota, now))
+		control_shortage(n, now, out);
+}
--- /dev/null
+++ b/core/counters.c
@@ -0,0 +1,33 @@
+#include "core/counters.h"
+
+static const char *const names[COUNT_COUNT] = {
+    [COUNT_CALLS] = "calls",
+    [COUNT_SUB_CALLS] = "sub_calls",
+    [COUNT_ANSWERS] = "whole_answers",
+    [COUNT_TRIES] = "tries",
+    [COUNT_RETRIES] = "retries",
+    [COUNT_JOBS_STARTED] = "jobs_started",
+    [COUNT_JOBS_DONE] = "jobs_done",
+    [COUNT_JOBS_CANCELLED] = "jobs_cancelled",
+    [COUNT_LEDGER_REPLAYS] = "ledger_replays",
+    [COUNT_FATES_ASKED] = "fates_asked",
+    [COUNT_TOMBSTONES] = "tombstones_written",
+    [COUNT_HANDOVERS] = "ledger_records_handed_over",
+    [COUNT_LINKS_LOST] = "links_lost",
+    [COUNT_CONFIG_ADOPTED] = "config_versions_adopted",
+    [COUNT_CONFIG_REJECTED] = "config_versions_rejected",
+    [COUNT_MEMBERS_GONE] = "members_found_gone",
+    [COUNT_REINCARNATIONS] = "reincarnations",
+    [COUNT_SHARE_ASKS] = "share_asks",
+    [COUNT_TOKEN_WAITS] = "token_waits",
+    [COUNT_PLATFORM_READS] = "platform_reads",
+    [COUNT_PLATFORM_WRITES] = "platform_writes",
+    [COUNT_PLATFORM_UNKNOWN] = "platform_answers_lost",
+    [COUNT_CONTROL_MESSAGES] = "control_messages_sent",
+};
+
+const char *
+counter_name(enum counter c)
+{
+	return names[c];
+}
--- /dev/null
+++ b/core/entry.c
@@ -0,0 +1,709 @@
+/*
+ * A call at the daemon that took it from the caller: who may make it, which
+ * target gets it, whether it is tried again, and what the caller is told.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/node_impl.h"
+
+#define TOKEN_WAIT_US (150 * MSEC_US) /* for a token of the rate */
+#define MEMBERS_WAIT_US (1500 * MSEC_US) /* for word of any target */
+#define REPLY_GRACE_US (100 * MSEC_US) /* past the deadline, for the reply */
+#define FATE_WAIT_US (2 * SEC_US) /* for word of a try's fate */
+#define FATE_AGAIN_US (100 * MSEC_US) /* between two askings */
+#define AVOID_US (1 * SEC_US) /* a failed target is tried last */
+#define PROBE_ONE_IN 20 /* calls sent in spite of a threshold */
+#define RETRY_AFTER_MS 1000 /* told to callers who are refused */
+
+static int
+entry_token_cmp(struct entry_call *a, struct entry_call *b)
+{
+	return a->token < b->token ? -1 : a->token > b->token;
+}
+
+static int
+entry_seq_cmp(struct entry_call *a, struct entry_call *b)
+{
+	return a->seq < b->seq ? -1 : a->seq > b->seq;
+}
+
+RB_GENERATE(entry_by_token, entry_call, by_token, entry_token_cmp);
+RB_GENERATE(entry_by_seq, entry_call, by_seq, entry_seq_cmp);
+
+static void try_next(
+    struct node *, struct entry_call *, struct instant, struct msg_list *);
+
+static void
+clear_seq(struct node *n, struct entry_call *c)
+{
+	struct group *g;
+	struct member *m;
+
+	if (c->seq == 0)
+		return;
+	RB_REMOVE(entry_by_seq, &n->tries, c);
+	c->seq = 0;
+	g = membership_find(n, c->service);
+	m = g != NULL ? group_find(g, c->target) : NULL;
+	if (m != NULL && m->outstanding > 0)
+		m->outstanding--;
+}
+
+/* What is left of the allowance goes back to the job that lent it. */
+static void
+return_to_job(struct node *n, const struct entry_call *c)
+{
+	struct job *j = c->job != 0 ? serve_find(n, c->job) : NULL;
+
+	if (j == NULL)
+		return;
+	j->allowance += c->allowance;
+	j->tries += c->tries;
+}
+
+static void
+call_free(struct node *n, struct entry_call *c)
+{
+	clear_seq(n, c);
+	RB_REMOVE(entry_by_token, &n->calls, c);
+	n->ncalls--;
+	return_to_job(n, c);
+	request_release(&c->call.request);
+	free(c);
+}
+
+static void
+note_decision(struct node *n, const struct entry_call *c,
+    struct failure failure, struct instant now)
+{
+	struct decision *d = explain_add(n->explain);
+
+	d->step = "entry";
+	d->at_ms = now.wall_ms;
+	d->tree = c->context.tree;
+	d->target = c->target;
+	d->failure = failure;
+	name_copy(d->id, c->id, sizeof(d->id));
+	name_copy(d->org, c->context.org, sizeof(d->org));
+	name_copy(d->service, c->service, sizeof(d->service));
+	snprintf(d->figure, sizeof(d->figure),
+	    "tries=%" PRIu32 " allowance=%" PRIu32 " took_us=%" PRIu64,
+	    c->tries, c->allowance, now.mono_us - c->begun_us);
+}
+
+/* End a call with the reply, which is taken over. */
+static void
+answer(struct node *n, struct entry_call *c, struct reply *reply,
+    struct instant now, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_ANSWER, n->setup.self, c->token);
+
+	if (reply->failure.reason == REASON_NONE)
+		n->counters.values[COUNT_ANSWERS]++;
+	else
+		n->counters.refused[reply->failure.reason]++;
+	note_decision(n, c, reply->failure, now);
+	reply_move(&m->u.reply, reply);
+	m->u.reply.tries = c->tries;
+	call_free(n, c);
+}
+
+static void
+fail(struct node *n, struct entry_call *c, enum verdict verdict,
+    enum reason reason, struct instant now, struct msg_list *out)
+{
+	struct reply reply;
+
+	memset(&reply, 0, sizeof(reply));
+	reply_fail(&reply, failure_make(verdict, reason));
+	if (reason == REASON_OVER_RATE || reason == REASON_SHED ||
+	    reason == REASON_BUSY || reason == REASON_NO_LEASE ||
+	    reason == REASON_NO_TARGET)
+		reply.retry_after_ms = RETRY_AFTER_MS;
+	answer(n, c, &reply, now, out);
+}
+
+/* Stop a try that nobody waits for any more. */
+static void
+emit_cancel(const struct entry_call *c, bool queued_only, struct msg_list *out)
+{
+	struct msg *m;
+
+	if (c->seq == 0)
+		return;
+	m = msg_emit(out, MSG_CANCEL, c->target, c->seq);
+	m->queued_only = queued_only;
+}
+
+static bool
+check_key(struct node *n, struct entry_call *c, const struct route *route,
+    enum reason *reason)
+{
+	struct organisation *org;
+
+	if (c->call.has_key) {
+		org = catalog_key_owner(n->conf.catalog, c->call.key_hash);
+		if (org == NULL && !route->open) {
+			*reason = REASON_KEY_REFUSED;
+			return false;
+		}
+		if (org != NULL) {
+			name_copy(
+			    c->context.org, org->name, sizeof(c->context.org));
+			c->keyed = true;
+		}
+		return true;
+	}
+	*reason = REASON_NO_KEY;
+	return route->open;
+}
+
+/* A call that a local job makes: it inherits, and borrows the allowance. */
+static bool
+check_context(struct node *n, struct entry_call *c,
+    const struct service *service, enum reason *reason)
+{
+	struct job *j;
+	struct service *caller;
+
+	*reason = REASON_CANCELLED;
+	j = serve_find(n, c->call.context.job);
+	if (j == NULL || j->forward.context.tree != c->call.context.tree)
+		return false;
+	*reason = REASON_NOT_DEPENDENCY;
+	caller = catalog_service(n->conf.catalog, j->forward.service);
+	if (caller == NULL || !service_depends_on(caller, service))
+		return false;
+	*reason = REASON_KEY_REFUSED;
+	if (j->forward.context.org[0] != '\0' &&
+	    catalog_organisation(n->conf.catalog, j->forward.context.org) ==
+		NULL)
+		return false;
+	c->context = j->forward.context;
+	c->job = j->seq;
+	c->allowance = j->allowance;
+	j->allowance = 0;
+	n->counters.values[COUNT_SUB_CALLS]++;
+	return true;
+}
+
+static uint64_t
+call_deadline(struct node *n, const struct entry_call *c, struct instant now)
+{
+	uint64_t left = n->setup.default_deadline_us;
+	struct job *j = c->job != 0 ? serve_find(n, c->job) : NULL;
+	uint64_t end;
+
+	if (c->call.context.deadline_ms != 0)
+		left = c->call.context.deadline_ms * MSEC_US;
+	if (left > n->setup.max_deadline_us)
+		left = n->setup.max_deadline_us;
+	end = now.mono_us + left;
+	return j != NULL && j->deadline_us < end ? j->deadline_us : end;
+}
+
+static bool
+is_safe_method(const char *method)
+{
+	return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+}
+
+/* An id of the caller's, or one of our own: every such call has one. */
+static bool
+take_id(
+    struct node *n, struct entry_call *c, struct instant now, struct failure *f)
+{
+	const uint64_t forget_ms = (LEDGER_RETAIN_US - 60 * SEC_US) / MSEC_US;
+
+	if (c->call.id[0] == '\0') {
+		name_copy(c->id_dc, n->setup.dc, sizeof(c->id_dc));
+		c->stamp_ms = now.wall_ms;
+		id_make(c->id, sizeof(c->id), now.wall_ms, c->id_dc,
+		    n->setup.incarnation ^ addr_hash(n->setup.self),
+		    node_seq(n));
+		return true;
+	}
+	*f = failure_make(VERDICT_NOT_RUN, REASON_BAD_REQUEST);
+	name_copy(c->id, c->call.id, sizeof(c->id));
+	if (!id_parse(c->id, &c->stamp_ms, c->id_dc, sizeof(c->id_dc)) ||
+	    c->stamp_ms > now.wall_ms + GROUP_SKEW_MS)
+		return false;
+	*f = failure_make(VERDICT_MAY_HAVE_RUN, REASON_ID_EXPIRED);
+	return c->stamp_ms + forget_ms > now.wall_ms;
+}
+
+static bool
+is_stale(const struct node *n, const struct route *r, struct instant now)
+{
+	return r->stale_us != 0 &&
+	       now.mono_us - n->conf.confirmed_us > r->stale_us;
+}
+
+/* All checks that need no other daemon. */
+static bool
+admit(
+    struct node *n, struct entry_call *c, struct instant now, struct failure *f)
+{
+	struct route *r;
+
+	*f = failure_make(VERDICT_NOT_RUN, REASON_NO_CONFIG);
+	if (n->conf.catalog == NULL)
+		return false;
+	f->reason = REASON_BUSY;
+	if (n->ncalls > n->setup.max_calls)
+		return false;
+	f->reason = REASON_BAD_REQUEST;
+	r = catalog_route(n->conf.catalog, c->call.request.path);
+	if (r == NULL || c->call.context_bad)
+		return false;
+	f->reason = REASON_STALE_CONFIG;
+	if (is_stale(n, r, now))
+		return false;
+	name_copy(c->service, r->service->name, sizeof(c->service));
+	name_copy(c->route, r->prefix, sizeof(c->route));
+	c->context.importance = r->importance;
+	c->allowance = n->conf.catalog->retries;
+	c->idempotent = r->idempotent || is_safe_method(c->call.request.method);
+	if (c->call.has_context ? !check_context(n, c, r->service, &f->reason)
+				: !check_key(n, c, r, &f->reason))
+		return false;
+	if (r->importance > c->context.importance)
+		c->context.importance = r->importance;
+	return c->idempotent || take_id(n, c, now, f);
+}
+
+static void
+make_tree(struct node *n, struct entry_call *c)
+{
+	if (c->job != 0)
+		return;
+	do {
+		c->context.tree = rng_next(&n->rng);
+	} while (c->context.tree == 0);
+	c->context.level = shed_level(c->context.org, c->context.tree);
+}
+
+static void
+wait_for(struct entry_call *c, enum entry_state state, uint64_t until_us)
+{
+	c->state = state;
+	c->wake_us = until_us < c->deadline_us ? until_us : c->deadline_us;
+}
+
+/* Pay for the call, or wait for a token. */
+static void
+pay(struct node *n, struct entry_call *c, struct instant now,
+    struct msg_list *out)
+{
+	if (!c->keyed ||
+	    quota_take(n->quota, c->context.org, now) == QUOTA_TAKEN) {
+		try_next(n, c, now, out);
+		return;
+	}
+	n->counters.values[COUNT_TOKEN_WAITS]++;
+	wait_for(c, ENTRY_TOKEN, now.mono_us + TOKEN_WAIT_US);
+	control_shortage(n, now, out);
+}
+
+void
+entry_begin(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct entry_call *c = xcalloc(1, sizeof(*c));
+	struct failure f;
+
+	c->token = msg->seq;
+	c->call = msg->u.call;
+	memset(&msg->u.call.request, 0, sizeof(msg->u.call.request));
+	c->begun_us = now.mono_us;
+	RB_INSERT(entry_by_token, &n->calls, c);
+	n->ncalls++;
+	n->counters.values[COUNT_CALLS]++;
+	if (!admit(n, c, now, &f)) {
+		fail(n, c, f.verdict, f.reason, now, out);
+		return;
+	}
+	make_tree(n, c);
+	c->balance.importance = c->context.importance;
+	c->balance.level = c->context.level;
+	c->deadline_us = call_deadline(n, c, now);
+	retry_budget_note(&n->budget);
+	pay(n, c, now, out);
+}
+
+/* Refuse here what the target would refuse; a few probe the threshold. */
+static bool
+refuse_early(struct node *n, const struct entry_call *c, const struct member *m)
+{
+	if (!threshold_refuses(
+		m->threshold, c->context.importance, c->context.level))
+		return false;
+	return rng_below(&n->rng, PROBE_ONE_IN) != 0;
+}
+
+static struct member *
+choose_owner(struct entry_call *c, struct group *g, struct instant now,
+    struct failure *f)
+{
+	struct owner o = group_owner(g, c->id_dc, c->id, c->stamp_ms, now);
+
+	switch (o.kind) {
+	case OWNER_SELF:
+	case OWNER_OTHER:
+		return o.member;
+	case OWNER_DOUBT:
+		*f = failure_make(VERDICT_MAY_HAVE_RUN, REASON_OWNER_LOST);
+		return NULL;
+	case OWNER_NO_LEASE:
+		*f = failure_make(VERDICT_NOT_RUN, REASON_NO_LEASE);
+		return NULL;
+	default:
+		*f = failure_make(VERDICT_NOT_RUN, REASON_NO_TARGET);
+		return NULL;
+	}
+}
+
+static void
+emit_forward(struct node *n, struct entry_call *c, struct member *m,
+    struct instant now, struct msg_list *out)
+{
+	struct msg *msg;
+	struct forward *f;
+
+	c->seq = node_seq(n);
+	RB_INSERT(entry_by_seq, &n->tries, c);
+	c->target = m->record.addr;
+	c->target_incarnation = m->record.incarnation;
+	m->outstanding++;
+	c->tries++;
+	n->counters.values[COUNT_TRIES]++;
+	msg = msg_emit(out, MSG_FORWARD, c->target, c->seq);
+	f = &msg->u.forward;
+	name_copy(f->service, c->service, sizeof(f->service));
+	name_copy(f->id, c->id, sizeof(f->id));
+	f->idempotent = c->idempotent;
+	f->incarnation = m->record.incarnation;
+	f->config_version = n->conf.version;
+	f->context = c->context;
+	f->context.deadline_ms = (c->deadline_us - now.mono_us) / MSEC_US;
+	f->context.allowance = retry_share(c->allowance);
+	c->allowance -= f->context.allowance;
+	request_copy(&f->request, &c->call.request);
+	wait_for(c, ENTRY_SENT, UINT64_MAX);
+	c->wake_us = c->deadline_us + REPLY_GRACE_US;
+}
+
+static void
+try_next(struct node *n, struct entry_call *c, struct instant now,
+    struct msg_list *out)
+{
+	struct failure f = {VERDICT_NOT_RUN, REASON_NO_TARGET};
+	struct group *g = membership_group(n, c->service);
+	struct member *m;
+
+	g->used_us = now.mono_us;
+	if (now.mono_us + MSEC_US >= c->deadline_us) {
+		fail(n, c, VERDICT_NOT_RUN, REASON_DEADLINE, now, out);
+		return;
+	}
+	if (c->idempotent)
+		m = n->setup.balancer->choose(g, &c->balance, &n->rng, now);
+	else
+		m = choose_owner(c, g, now, &f);
+	if (m == NULL && g->count == 0 && c->tries == 0 &&
+	    now.mono_us - c->begun_us < MEMBERS_WAIT_US) {
+		wait_for(c, ENTRY_MEMBERS, c->begun_us + MEMBERS_WAIT_US);
+		return;
+	}
+	if (m == NULL) {
+		fail(n, c, f.verdict, f.reason, now, out);
+		return;
+	}
+	if (refuse_early(n, c, m)) {
+		fail(n, c, VERDICT_NOT_RUN, REASON_SHED, now, out);
+		return;
+	}
+	emit_forward(n, c, m, now, out);
+}
+
+/* Whether another try at another time or place could go better. */
+static bool
+reason_may_pass(enum reason reason)
+{
+	switch (reason) {
+	case REASON_SHED:
+	case REASON_NO_TARGET:
+	case REASON_LEAVING:
+	case REASON_TARGET_FAILED:
+	case REASON_LINK_LOST:
+	case REASON_NO_LEASE:
+	case REASON_NOT_OWNER:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void
+remember_tried(struct entry_call *c)
+{
+	struct balance_call *b = &c->balance;
+
+	b->tried[b->ntried % BALANCE_MAX_TRIED] = c->target;
+	if (b->ntried < BALANCE_MAX_TRIED)
+		b->ntried++;
+}
+
+/* A try has failed and is over: try again or tell the caller. */
+static void
+try_failed(struct node *n, struct entry_call *c, struct failure f,
+    struct instant now, struct msg_list *out)
+{
+	uint64_t pause;
+
+	clear_seq(n, c);
+	remember_tried(c);
+	if (!reason_may_pass(f.reason) ||
+	    !verdict_may_retry(f.verdict, c->idempotent) || c->allowance == 0 ||
+	    !retry_budget_take(&n->budget)) {
+		fail(n, c, f.verdict, f.reason, now, out);
+		return;
+	}
+	pause = retry_backoff_us(c->retries, &n->rng);
+	if (now.mono_us + pause >= c->deadline_us) {
+		fail(n, c, f.verdict, f.reason, now, out);
+		return;
+	}
+	c->allowance--;
+	c->retries++;
+	n->counters.values[COUNT_RETRIES]++;
+	wait_for(c, ENTRY_BACKOFF, now.mono_us + pause);
+}
+
+static void
+learn_from_reply(struct node *n, const struct entry_call *c,
+    const struct reply *r, struct instant now)
+{
+	struct group *g = membership_find(n, c->service);
+	struct member *m = g != NULL ? group_find(g, c->target) : NULL;
+
+	if (m == NULL)
+		return;
+	m->threshold = r->threshold;
+	m->load = r->load;
+	m->heard_us = now.mono_us;
+	if (r->leaving && m->record.state == MEMBER_ALIVE && !m->self) {
+		m->record.state = MEMBER_LEAVING;
+		m->record.ended_ms = now.wall_ms + GROUP_LEAVE_MS;
+	}
+	if (r->failure.reason == REASON_TARGET_FAILED ||
+	    r->failure.reason == REASON_NO_TARGET)
+		m->avoid_us = now.mono_us + AVOID_US;
+}
+
+void
+entry_reply(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct entry_call want, *c;
+	struct reply *r = &msg->u.reply;
+
+	want.seq = msg->seq;
+	c = RB_FIND(entry_by_seq, &n->tries, &want);
+	if (c == NULL || !addr_equal(c->target, msg->peer))
+		return;
+	learn_from_reply(n, c, r, now);
+	c->allowance += r->allowance;
+	c->tries += r->tries;
+	if (r->failure.reason == REASON_NONE) {
+		clear_seq(n, c);
+		answer(n, c, r, now, out);
+		return;
+	}
+	try_failed(n, c, r->failure, now, out);
+}
+
+static void
+ask_fate(struct node *n, struct entry_call *c, struct instant now,
+    struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_ASK_FATE, c->target, c->seq);
+
+	name_copy(m->u.fate.org, c->context.org, sizeof(m->u.fate.org));
+	name_copy(m->u.fate.id, c->id, sizeof(m->u.fate.id));
+	m->u.fate.seq = c->seq;
+	m->u.fate.incarnation = c->target_incarnation;
+	n->counters.values[COUNT_FATES_ASKED]++;
+	c->state = ENTRY_ASKING;
+	c->wake_us = now.mono_us + FATE_AGAIN_US;
+}
+
+void
+entry_fate(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct entry_call want, *c;
+
+	want.seq = msg->u.fate.seq;
+	c = RB_FIND(entry_by_seq, &n->tries, &want);
+	if (c == NULL || c->state != ENTRY_ASKING ||
+	    !addr_equal(c->target, msg->peer))
+		return;
+	switch (msg->u.fate.state) {
+	case FATE_TOMBSTONE:
+		try_failed(n, c,
+		    failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST), now, out);
+		break;
+	case FATE_RUNNING:
+	case FATE_RAN:
+		c->state = ENTRY_SENT;
+		c->wake_us = c->deadline_us + REPLY_GRACE_US;
+		break;
+	default:
+		try_failed(n, c,
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST), now,
+		    out);
+		break;
+	}
+}
+
+static void
+link_down_call(struct node *n, struct entry_call *c, bool sent,
+    struct instant now, struct msg_list *out)
+{
+	struct group *g = membership_find(n, c->service);
+	struct member *m = g != NULL ? group_find(g, c->target) : NULL;
+
+	if (m != NULL)
+		m->avoid_us = now.mono_us + AVOID_US;
+	if (c->state == ENTRY_ASKING)
+		return;
+	if (sent && !c->idempotent) {
+		c->ask_until_us = now.mono_us + FATE_WAIT_US;
+		ask_fate(n, c, now, out);
+		return;
+	}
+	try_failed(n, c,
+	    failure_make(sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN,
+		REASON_LINK_LOST),
+	    now, out);
+}
+
+void
+entry_link_down(struct node *n, struct addr peer, bool sent, struct instant now,
+    struct msg_list *out)
+{
+	struct entry_call *c, *next;
+
+	RB_FOREACH_SAFE (c, entry_by_seq, &n->tries, next) {
+		if (addr_equal(c->target, peer))
+			link_down_call(n, c, sent, now, out);
+	}
+}
+
+void
+entry_gone(struct node *n, uint64_t token, struct msg_list *out)
+{
+	struct entry_call want, *c;
+
+	want.token = token;
+	c = RB_FIND(entry_by_token, &n->calls, &want);
+	if (c == NULL)
+		return;
+	emit_cancel(c, false, out);
+	n->counters.refused[REASON_CANCELLED]++;
+	call_free(n, c);
+}
+
+static bool
+key_is_valid(struct node *n, const struct entry_call *c)
+{
+	struct organisation *org;
+
+	if (!c->keyed)
+		return true;
+	org = catalog_key_owner(n->conf.catalog, c->call.key_hash);
+	return org != NULL && strcmp(org->name, c->context.org) == 0;
+}
+
+void
+entry_recheck(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct entry_call *c, *next;
+
+	RB_FOREACH_SAFE (c, entry_by_token, &n->calls, next) {
+		if (key_is_valid(n, c))
+			continue;
+		if (c->state == ENTRY_SENT || c->state == ENTRY_ASKING)
+			emit_cancel(c, true, out);
+		else
+			fail(n, c, VERDICT_NOT_RUN, REASON_KEY_REFUSED, now,
+			    out);
+	}
+}
+
+void
+entry_wake(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct entry_call *c, *next;
+
+	RB_FOREACH_SAFE (c, entry_by_token, &n->calls, next) {
+		if (c->state == ENTRY_MEMBERS) {
+			try_next(n, c, now, out);
+		} else if (c->state == ENTRY_TOKEN &&
+			   quota_take_again(n->quota, c->context.org, now) ==
+			       QUOTA_TAKEN) {
+			try_next(n, c, now, out);
+		}
+	}
+}
+
+/* The reply did not come in time: what the daemon there does is unknown. */
+static void
+reply_overdue(struct node *n, struct entry_call *c, struct instant now,
+    struct msg_list *out)
+{
+	emit_cancel(c, false, out);
+	fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_DEADLINE, now, out);
+}
+
+static void
+call_due(struct node *n, struct entry_call *c, struct instant now,
+    struct msg_list *out)
+{
+	switch (c->state) {
+	case ENTRY_TOKEN:
+		fail(n, c, VERDICT_NOT_RUN, REASON_OVER_RATE, now, out);
+		break;
+	case ENTRY_MEMBERS:
+	case ENTRY_BACKOFF:
+		try_next(n, c, now, out);
+		break;
+	case ENTRY_SENT:
+		reply_overdue(n, c, now, out);
+		break;
+	case ENTRY_ASKING:
+		if (now.mono_us < c->ask_until_us)
+			ask_fate(n, c, now, out);
+		else
+			fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST, now,
+			    out);
+		break;
+	}
+}
+
+void
+entry_tick(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct entry_call *c, *next;
+
+	entry_wake(n, now, out);
+	RB_FOREACH_SAFE (c, entry_by_token, &n->calls, next) {
+		if (now.mono_us >= c->wake_us)
+			call_due(n, c, now, out);
+	}
+}
--- /dev/null
+++ b/core/explain.c
@@ -0,0 +1,81 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/explain.h"
+
+struct explain {
+	struct decision records[EXPLAIN_RECORDS];
+	size_t next;
+};
+
+struct explain *
+explain_create(void)
+{
+	return xcalloc(1, sizeof(struct explain));
+}
+
+void
+explain_destroy(struct explain *e)
+{
+	free(e);
+}
+
+struct decision *
+explain_add(struct explain *e)
+{
+	struct decision *d = &e->records[e->next];
+
+	e->next = (e->next + 1) % EXPLAIN_RECORDS;
+	memset(d, 0, sizeof(*d));
+	return d;
+}
+
+static bool
+decision_matches(const struct decision *d, const char *what)
+{
+	char tree[17];
+
+	if (d->step == NULL)
+		return false;
+	snprintf(tree, sizeof(tree), "%016" PRIx64, d->tree);
+	return strcmp(d->id, what) == 0 || strcmp(tree, what) == 0;
+}
+
+static int
+decision_print(const struct decision *d, char *buf, size_t len)
+{
+	return snprintf(buf, len,
+	    "at_ms=%" PRIu64 " step=%s tree=%016" PRIx64
+	    " id=%s org=%s service=%s target=%u.%u.%u.%u:%u verdict=%s "
+	    "reason=%s %s\n",
+	    d->at_ms, d->step, d->tree, d->id[0] ? d->id : "-",
+	    d->org[0] ? d->org : "-", d->service, d->target.ip >> 24,
+	    (d->target.ip >> 16) & 255, (d->target.ip >> 8) & 255,
+	    d->target.ip & 255, d->target.port,
+	    d->failure.reason == REASON_NONE ? "ran"
+					     : verdict_name(d->failure.verdict),
+	    reason_name(d->failure.reason), d->figure);
+}
+
+size_t
+explain_print(const struct explain *e, const char *what, char *buf, size_t len)
+{
+	const struct decision *d;
+	size_t used = 0, i;
+	int ret;
+
+	buf[0] = '\0';
+	for (i = 0; i < EXPLAIN_RECORDS; i++) {
+		d = &e->records[(e->next + i) % EXPLAIN_RECORDS];
+		if (!decision_matches(d, what))
+			continue;
+		ret = decision_print(d, buf + used, len - used);
+		if (ret < 0 || (size_t)ret >= len - used)
+			break;
+		used += ret;
+	}
+	buf[used] = '\0';
+	return used;
+}
--- /dev/null
+++ b/core/group.c
@@ -0,0 +1,381 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/group.h"
+#include "core/hash.h"
+
+static int
+member_cmp(struct member *a, struct member *b)
+{
+	int ret = addr_cmp(a->record.addr, b->record.addr);
+
+	if (ret != 0)
+		return ret;
+	if (a->record.incarnation == b->record.incarnation)
+		return 0;
+	return a->record.incarnation < b->record.incarnation ? -1 : 1;
+}
+
+RB_GENERATE(member_tree, member, entry, member_cmp);
+
+struct group *
+group_create(const char *service, const char *dc)
+{
+	struct group *g = xcalloc(1, sizeof(*g));
+
+	RB_INIT(&g->members);
+	name_copy(g->service, service, sizeof(g->service));
+	name_copy(g->dc, dc, sizeof(g->dc));
+	return g;
+}
+
+static void
+group_remove(struct group *g, struct member *m)
+{
+	RB_REMOVE(member_tree, &g->members, m);
+	g->count--;
+	free(m);
+}
+
+void
+group_destroy(struct group *g)
+{
+	struct member *m;
+
+	while ((m = RB_ROOT(&g->members)) != NULL)
+		group_remove(g, m);
+	free(g);
+}
+
+/* The latest incarnation at an address. */
+struct member *
+group_find(struct group *g, struct addr addr)
+{
+	struct member want, *m, *prev;
+
+	want.record.addr = addr;
+	want.record.incarnation = UINT64_MAX;
+	m = RB_NFIND(member_tree, &g->members, &want);
+	prev = m != NULL ? RB_PREV(member_tree, &g->members, m)
+			 : RB_MAX(member_tree, &g->members);
+	if (prev != NULL && addr_equal(prev->record.addr, addr))
+		return prev;
+	return NULL;
+}
+
+static bool
+member_ended(const struct member *m)
+{
+	return m->record.state == MEMBER_LEFT || m->record.state == MEMBER_GONE;
+}
+
+bool
+member_is_open(const struct member *m)
+{
+	return m->record.state == MEMBER_ALIVE;
+}
+
+static void
+member_end(struct member *m, enum member_state state, struct instant now)
+{
+	m->record.state = state;
+	m->ended_us = now.mono_us;
+	m->lease_us = 0;
+	if (state == MEMBER_GONE || m->record.ended_ms == 0)
+		m->record.ended_ms = now.wall_ms;
+}
+
+static struct member *
+group_insert(struct group *g, const struct member_record *r, struct instant now)
+{
+	struct member *m = xcalloc(1, sizeof(*m));
+
+	m->record = *r;
+	m->seen_us = now.mono_us;
+	m->heard_us = now.mono_us;
+	if (member_ended(m))
+		m->ended_us = now.mono_us;
+	RB_INSERT(member_tree, &g->members, m);
+	g->count++;
+	return m;
+}
+
+/*
+ * A target's word that a member is gone rests on its own silence towards
+ * us, because we may have granted it a lease that still runs.  Others, who
+ * grant nothing, believe what they are told.
+ */
+static bool
+member_advance(struct group *g, struct member *m, const struct member_record *r,
+    struct instant now)
+{
+	if (r->state <= m->record.state || m->self)
+		return false;
+	if (r->state == MEMBER_GONE) {
+		if (g->self != NULL && strcmp(m->record.dc, g->dc) == 0)
+			return false;
+		member_end(m, MEMBER_GONE, now);
+	} else if (r->state == MEMBER_LEFT) {
+		m->record.ended_ms = r->ended_ms;
+		member_end(m, MEMBER_LEFT, now);
+	} else {
+		m->record.state = r->state;
+	}
+	if (r->ended_ms != 0)
+		m->record.ended_ms = r->ended_ms;
+	return true;
+}
+
+bool
+group_merge(struct group *g, const struct member_record *r, struct instant now)
+{
+	struct member *m = group_find(g, r->addr);
+
+	if (m == NULL || m->record.incarnation < r->incarnation) {
+		if (m != NULL && m->self)
+			return false;
+		if (m != NULL && !member_ended(m))
+			member_end(m, MEMBER_GONE, now);
+		group_insert(g, r, now);
+		return true;
+	}
+	if (m->record.incarnation > r->incarnation)
+		return false;
+	if (r->slots != 0)
+		m->record.slots = r->slots;
+	return member_advance(g, m, r, now);
+}
+
+void
+group_join(struct group *g, const struct member_record *r, struct instant now)
+{
+	struct member *m = group_find(g, r->addr);
+
+	if (m != NULL && m->record.incarnation >= r->incarnation)
+		return;
+	if (m != NULL && !member_ended(m))
+		member_end(m, MEMBER_GONE, now);
+	m = group_insert(g, r, now);
+	m->self = true;
+	g->self = m;
+}
+
+bool
+group_tick(struct group *g, struct instant now)
+{
+	struct member *m, *next;
+	bool changed = false;
+
+	RB_FOREACH_SAFE (m, member_tree, &g->members, next) {
+		if (m->self)
+			continue;
+		if (member_ended(m)) {
+			if (now.mono_us - m->ended_us > GROUP_RETAIN_US &&
+			    m->outstanding == 0)
+				group_remove(g, m);
+			continue;
+		}
+		if (now.mono_us - m->heard_us <= GROUP_GONE_US ||
+		    now.mono_us - m->granted_us <= GROUP_GONE_US)
+			continue;
+		member_end(m, MEMBER_GONE, now);
+		changed = true;
+	}
+	return changed;
+}
+
+/* Whether ids of that stamp name the member as a possible owner. */
+static bool
+member_is_candidate(const struct member *m, const char *dc, uint64_t stamp_ms)
+{
+	const struct member_record *r = &m->record;
+
+	if (strcmp(r->dc, dc) != 0 || stamp_ms < r->owner_from_ms)
+		return false;
+	switch (r->state) {
+	case MEMBER_ALIVE:
+		return true;
+	case MEMBER_LEAVING:
+	case MEMBER_LEFT:
+		return stamp_ms < r->ended_ms;
+	default:
+		return stamp_ms <= r->ended_ms + 2 * (uint64_t)GROUP_SKEW_MS;
+	}
+}
+
+static uint64_t
+member_weight(const struct member *m, uint64_t subject)
+{
+	return hash_rendezvous(subject,
+	    hash_rendezvous(addr_hash(m->record.addr), m->record.incarnation));
+}
+
+static struct owner
+owner_make(enum owner_kind kind, struct member *m)
+{
+	struct owner o = {kind, m};
+
+	return o;
+}
+
+/* The heaviest candidate lighter than a bound. */
+static struct member *
+group_heaviest(struct group *g, const char *dc, uint64_t subject,
+    uint64_t stamp_ms, uint64_t below)
+{
+	struct member *m, *best = NULL;
+	uint64_t w, top = 0;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (!member_is_candidate(m, dc, stamp_ms))
+			continue;
+		w = member_weight(m, subject);
+		if (w < below && (best == NULL || w > top)) {
+			best = m;
+			top = w;
+		}
+	}
+	return best;
+}
+
+/* Whether a member that is gone would have come before us. */
+static bool
+group_passes_gone(struct group *g, uint64_t subject)
+{
+	uint64_t own = member_weight(g->self, subject);
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state == MEMBER_GONE &&
+		    strcmp(m->record.dc, g->dc) == 0 &&
+		    member_weight(m, subject) > own)
+			return true;
+	}
+	return false;
+}
+
+struct owner
+group_owner(struct group *g, const char *dc, const char *id, uint64_t stamp_ms,
+    struct instant now)
+{
+	uint64_t subject = hash_string(id), below = UINT64_MAX;
+	struct member *m;
+
+	for (;;) {
+		m = group_heaviest(g, dc, subject, stamp_ms, below);
+		if (m == NULL)
+			return owner_make(OWNER_NONE, NULL);
+		if (m->record.state == MEMBER_GONE)
+			return owner_make(OWNER_DOUBT, m);
+		if (m->record.state != MEMBER_LEFT)
+			break;
+		if (g->self != NULL && !m->handed)
+			return owner_make(OWNER_DOUBT, m);
+		below = member_weight(m, subject);
+	}
+	if (!m->self)
+		return owner_make(OWNER_OTHER, m);
+	if (!group_has_lease(g, now, group_passes_gone(g, subject)))
+		return owner_make(OWNER_NO_LEASE, m);
+	return owner_make(OWNER_SELF, m);
+}
+
+struct member *
+group_successor(struct group *g, const char *id, uint64_t stamp_ms)
+{
+	uint64_t subject = hash_string(id);
+	uint64_t below = member_weight(g->self, subject);
+	struct member *m;
+
+	for (;;) {
+		m = group_heaviest(g, g->dc, subject, stamp_ms, below);
+		if (m == NULL || !member_ended(m))
+			return m;
+		below = member_weight(m, subject);
+	}
+}
+
+bool
+group_grant(
+    struct group *g, struct addr from, uint64_t incarnation, struct instant now)
+{
+	struct member *m = group_find(g, from);
+
+	if (m == NULL || m->self || m->record.incarnation != incarnation)
+		return false;
+	if (m->record.state == MEMBER_GONE)
+		return false;
+	m->heard_us = now.mono_us;
+	if (g->self == NULL)
+		return false;
+	m->granted_us = now.mono_us;
+	return true;
+}
+
+void
+group_granted(struct group *g, struct addr from, uint64_t sent_us,
+    uint64_t gone_digest, struct instant now)
+{
+	struct member *m = group_find(g, from);
+
+	if (m == NULL || member_ended(m))
+		return;
+	m->heard_us = now.mono_us;
+	m->lease_us = sent_us + GROUP_LEASE_US;
+	m->lease_gone = gone_digest;
+}
+
+bool
+group_has_lease(struct group *g, struct instant now, bool strict)
+{
+	uint64_t gone = strict ? group_gone_digest(g) : 0;
+	int grants = 0, total = 0;
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (strcmp(m->record.dc, g->dc) != 0 || m->fenced ||
+		    m->record.state == MEMBER_LEFT)
+			continue;
+		total++;
+		if (m->self)
+			grants++;
+		else if (m->lease_us > now.mono_us &&
+			 (!strict || m->lease_gone == gone))
+			grants++;
+	}
+	return grants > total / 2;
+}
+
+static uint64_t
+record_digest(const struct member_record *r)
+{
+	uint64_t h = hash_rendezvous(addr_hash(r->addr), r->incarnation);
+
+	return hash_rendezvous(h, r->state);
+}
+
+/* Sums do not depend on the order, so equal sets have equal digests. */
+uint64_t
+group_digest(struct group *g)
+{
+	uint64_t sum = 0;
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members)
+		sum += record_digest(&m->record);
+	return sum;
+}
+
+uint64_t
+group_gone_digest(struct group *g)
+{
+	uint64_t sum = 0;
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state == MEMBER_GONE &&
+		    strcmp(m->record.dc, g->dc) == 0)
+			sum += record_digest(&m->record);
+	}
+	return sum;
+}
--- /dev/null
+++ b/core/membership.c
@@ -0,0 +1,634 @@
+/*
+ * The groups that this daemon knows: heartbeats and leases among the
+ * targets of a service, polls by those who call it, and the platform's rows
+ * at joining and leaving.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/node_impl.h"
+
+#define ROWS_AGAIN_US (2 * SEC_US) /* between reads of a group's rows */
+#define ROW_AGAIN_US (2 * SEC_US) /* between writes of our own row */
+#define UNUSED_US (120 * SEC_US) /* a group nobody calls is dropped */
+#define ANY_VERSION UINT64_MAX
+
+static int
+group_cmp(struct group *a, struct group *b)
+{
+	return strcmp(a->service, b->service);
+}
+
+RB_GENERATE(group_tree, group, entry, group_cmp);
+
+struct group *
+membership_find(struct node *n, const char *service)
+{
+	struct group want;
+
+	name_copy(want.service, service, sizeof(want.service));
+	return RB_FIND(group_tree, &n->groups, &want);
+}
+
+struct group *
+membership_group(struct node *n, const char *service)
+{
+	struct group *g = membership_find(n, service);
+
+	if (g != NULL)
+		return g;
+	g = group_create(service, n->setup.dc);
+	RB_INSERT(group_tree, &n->groups, g);
+	return g;
+}
+
+void
+membership_destroy(struct node *n)
+{
+	struct group *g;
+
+	while ((g = RB_ROOT(&n->groups)) != NULL) {
+		RB_REMOVE(group_tree, &n->groups, g);
+		group_destroy(g);
+	}
+}
+
+static void
+emit_ask(struct node *n, struct group *g, struct addr to, struct instant now,
+    struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_MEMBERS_ASK, to, node_seq(n));
+	struct members_ask *a = &m->u.members_ask;
+
+	name_copy(a->service, g->service, sizeof(a->service));
+	a->digest = group_digest(g);
+	a->sent_us = now.mono_us;
+	if (g->self != NULL) {
+		a->is_target = true;
+		a->self = g->self->record;
+	}
+}
+
+static void
+ask_seeds(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	int i;
+
+	for (i = 0; i < n->setup.nseeds; i++)
+		emit_ask(n, g, n->seeds[i], now, out);
+}
+
+static void
+read_rows(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	char key[256];
+
+	if (g->rows_us != 0 && now.mono_us - g->rows_us < ROWS_AGAIN_US)
+		return;
+	g->rows_us = now.mono_us;
+	snprintf(key, sizeof(key), "member/%s/", g->service);
+	node_read_row(n, key, true, out);
+	ask_seeds(n, g, now, out);
+}
+
+/* Tell all members of our state at once. */
+static void
+broadcast(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->self || m->record.state >= MEMBER_LEFT)
+			continue;
+		emit_ask(n, g, m->record.addr, now, out);
+		m->asked_us = now.mono_us;
+	}
+}
+
+static void
+own_row_key(struct node *n, char *key, size_t len)
+{
+	snprintf(key, len, "member/%s/%s/%" PRIu32 ":%u", n->target.service,
+	    n->setup.dc, n->setup.self.ip, n->setup.self.port);
+}
+
+static void
+write_own_row(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member_record *r = &g->self->record;
+	char key[256], value[256];
+
+	own_row_key(n, key, sizeof(key));
+	n->target.row_us = now.mono_us;
+	if (n->target.left) {
+		node_write_row(n, key, ANY_VERSION, "", 0, out);
+		return;
+	}
+	snprintf(value, sizeof(value),
+	    "%" PRIu32 " %u %" PRIu64 " %" PRIu64 " %" PRIu32 " %s", r->addr.ip,
+	    r->addr.port, r->incarnation, r->owner_from_ms, r->slots, r->dc);
+	node_write_row(n, key, ANY_VERSION, value, strlen(value), out);
+}
+
+static void
+join(struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member_record r;
+
+	memset(&r, 0, sizeof(r));
+	r.addr = n->setup.self;
+	r.incarnation = now.wall_ms;
+	if (r.incarnation < n->setup.incarnation)
+		r.incarnation = n->setup.incarnation;
+	if (g->self != NULL && r.incarnation <= g->self->record.incarnation)
+		r.incarnation = g->self->record.incarnation + 1;
+	r.owner_from_ms = now.wall_ms + GROUP_JOIN_MS;
+	r.slots = n->target.slots;
+	r.state = MEMBER_ALIVE;
+	name_copy(r.dc, n->setup.dc, sizeof(r.dc));
+	if (g->self != NULL) {
+		g->self->self = false;
+		g->self->record.state = MEMBER_GONE;
+		g->self->record.ended_ms = now.wall_ms;
+		g->self->ended_us = now.mono_us;
+	}
+	group_join(g, &r, now);
+	n->target.row_written = false;
+	write_own_row(n, g, now, out);
+	read_rows(n, g, now, out);
+	broadcast(n, g, now, out);
+}
+
+static void
+target_start(struct node *n, const struct announce *a)
+{
+	struct local_target *t = &n->target;
+	const struct shedder *shedder = n->setup.shedder;
+
+	memset(t, 0, sizeof(*t));
+	name_copy(t->service, a->service, sizeof(t->service));
+	t->slots = a->slots ? a->slots : 1;
+	t->present = true;
+	if (shedder == NULL)
+		shedder = n->conf.catalog != NULL &&
+				  n->conf.catalog->weighing == WEIGHING_GOODPUT
+			      ? &shedder_goodput
+			      : &shedder_recovery;
+	t->shed = shed_create(shedder, n->setup.max_queue);
+	limit_init(&t->limit, n->setup.limiter, t->slots, t->slots);
+}
+
+void
+membership_leave(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct group *g;
+
+	n->draining = true;
+	if (!n->target.present || n->target.leaving)
+		return;
+	n->target.leaving = true;
+	n->target.leave_ms = now.wall_ms + GROUP_LEAVE_MS;
+	g = membership_find(n, n->target.service);
+	if (g == NULL || g->self == NULL)
+		return;
+	g->self->record.state = MEMBER_LEAVING;
+	g->self->record.ended_ms = n->target.leave_ms;
+	broadcast(n, g, now, out);
+}
+
+void
+membership_announce(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	const struct announce *a = &msg->u.announce;
+	struct group *g;
+
+	if (a->leaving) {
+		membership_leave(n, now, out);
+		return;
+	}
+	if (n->target.present) {
+		/* Announcing again only renews what is known. */
+		return;
+	}
+	target_start(n, a);
+	g = membership_group(n, a->service);
+	join(n, g, now, out);
+}
+
+static void
+fill_records(struct members *reply, struct group *g)
+{
+	struct member *m;
+	int i = 0;
+
+	reply->records = xcalloc(g->count + 1, sizeof(*reply->records));
+	RB_FOREACH (m, member_tree, &g->members)
+		reply->records[i++] = m->record;
+	reply->count = i;
+}
+
+void
+membership_ask(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct members_ask *a = &msg->u.members_ask;
+	struct group *g = membership_find(n, a->service);
+	struct members *reply;
+	struct msg *m;
+
+	if (g == NULL) {
+		if (!a->is_target)
+			return;
+		g = membership_group(n, a->service);
+		g->used_us = now.mono_us;
+	}
+	if (a->is_target) {
+		a->self.addr = msg->peer;
+		if (group_merge(g, &a->self, now))
+			entry_wake(n, now, out);
+	}
+	m = msg_emit(out, MSG_MEMBERS, msg->peer, msg->seq);
+	reply = &m->u.members;
+	name_copy(reply->service, a->service, sizeof(reply->service));
+	reply->sent_us = a->sent_us;
+	if (a->is_target)
+		reply->granted =
+		    group_grant(g, msg->peer, a->self.incarnation, now);
+	reply->gone_digest = group_gone_digest(g);
+	if (g->self != NULL && n->target.shed != NULL) {
+		reply->threshold = shed_threshold(n->target.shed);
+		reply->load = (n->target.running + shed_count(n->target.shed)) *
+			      1000 / (limit_now(&n->target.limit) + 1);
+	}
+	if (group_digest(g) != a->digest)
+		fill_records(reply, g);
+}
+
+/* Others hold us for gone: only a new incarnation may own ids again. */
+static bool
+is_accused(struct group *g, const struct member_record *r)
+{
+	return g->self != NULL && r->state == MEMBER_GONE &&
+	       addr_equal(r->addr, g->self->record.addr) &&
+	       r->incarnation == g->self->record.incarnation;
+}
+
+void
+membership_members(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct members *r = &msg->u.members;
+	struct group *g = membership_find(n, r->service);
+	bool accused = false, changed = false;
+	struct member *m;
+	int i;
+
+	if (g == NULL)
+		return;
+	for (i = 0; i < r->count; i++) {
+		if (is_accused(g, &r->records[i]))
+			accused = true;
+		else if (group_merge(g, &r->records[i], now))
+			changed = true;
+	}
+	if (r->granted)
+		group_granted(g, msg->peer, r->sent_us, r->gone_digest, now);
+	m = group_find(g, msg->peer);
+	if (m != NULL) {
+		m->heard_us = now.mono_us;
+		m->threshold = r->threshold;
+		m->load = r->load;
+	}
+	if (accused && !n->target.leaving) {
+		n->counters.values[COUNT_REINCARNATIONS]++;
+		join(n, g, now, out);
+	}
+	if (changed)
+		entry_wake(n, now, out);
+}
+
+/* One "key version value" line of the rows of a group. */
+static void
+take_member_line(
+    struct node *n, struct group *g, const char *line, struct instant now)
+{
+	struct member_record r;
+	unsigned int port;
+
+	memset(&r, 0, sizeof(r));
+	if (sscanf(line,
+		"%*s %*u %" SCNu32 " %u %" SCNu64 " %" SCNu64 " %" SCNu32
+		" %63s",
+		&r.addr.ip, &port, &r.incarnation, &r.owner_from_ms, &r.slots,
+		r.dc) != 6)
+		return;
+	r.addr.port = port;
+	if (!addr_equal(r.addr, n->setup.self))
+		group_merge(g, &r, now);
+}
+
+static void
+take_fence_line(struct group *g, const char *line, struct instant now)
+{
+	struct addr a;
+	struct member *m;
+	unsigned int port;
+	uint64_t incarnation;
+
+	if (sscanf(line, "%" SCNu32 ":%u:%" SCNu64, &a.ip, &port,
+		&incarnation) != 3)
+		return;
+	a.port = port;
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (!addr_equal(m->record.addr, a) ||
+		    m->record.incarnation != incarnation)
+			continue;
+		m->fenced = true;
+		if (m->record.state < MEMBER_LEFT && !m->self) {
+			m->record.state = MEMBER_GONE;
+			m->record.ended_ms = now.wall_ms;
+			m->ended_us = now.mono_us;
+		}
+	}
+}
+
+static bool
+self_is_fenced(const struct group *g)
+{
+	return g->self != NULL && g->self->fenced;
+}
+
+/*
+ * The fence row of a data centre's group lists members that are gone for
+ * good.  It moves by compare-and-set only, so of two halves that hold each
+ * other for gone one is first, and the other finds itself in the list.
+ */
+static void
+fence_row(struct node *n, struct group *g, struct row *row, struct instant now,
+    struct msg_list *out)
+{
+	const char *p = row->value.data;
+
+	if (row->status == ROW_UNKNOWN || row->status == ROW_CONFLICT)
+		return;
+	g->rows_version = row->version;
+	g->rows_read = true;
+	while (p != NULL && *p != '\0') {
+		take_fence_line(g, p, now);
+		p = strchr(p, '\n');
+		if (p != NULL)
+			p++;
+	}
+	if (self_is_fenced(g)) {
+		n->counters.values[COUNT_REINCARNATIONS]++;
+		join(n, g, now, out);
+	}
+}
+
+static struct group *
+group_of_key(struct node *n, const char *key)
+{
+	char service[NAME_LEN];
+	const char *p = strchr(key, '/'), *end;
+
+	if (p == NULL)
+		return NULL;
+	end = strchr(++p, '/');
+	if (end == NULL || (size_t)(end - p) >= sizeof(service))
+		return NULL;
+	memcpy(service, p, end - p);
+	service[end - p] = '\0';
+	return membership_find(n, service);
+}
+
+void
+membership_row(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct row *row = &msg->u.row;
+	struct group *g = group_of_key(n, row->key);
+	const char *p;
+
+	if (g == NULL)
+		return;
+	if (strncmp(row->key, "fence/", 6) == 0) {
+		fence_row(n, g, row, now, out);
+		return;
+	}
+	if (row->status == ROW_WRITTEN) {
+		n->target.row_written = true;
+		return;
+	}
+	if (!row->prefix || row->status != ROW_FOUND)
+		return;
+	p = row->value.data;
+	while (p != NULL && *p != '\0') {
+		take_member_line(n, g, p, now);
+		p = strchr(p, '\n');
+		if (p != NULL)
+			p++;
+	}
+	if (g->self != NULL)
+		broadcast(n, g, now, out);
+	entry_wake(n, now, out);
+}
+
+static bool
+has_unfenced_gone(struct group *g)
+{
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state == MEMBER_GONE && !m->fenced && !m->self &&
+		    strcmp(m->record.dc, g->dc) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Too few are left for a majority: ask the platform to fence the gone. */
+static void
+fence_gone(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	char key[256], value[4096];
+	struct member *m;
+	size_t len = 0;
+
+	if (g->polled_us != 0 && now.mono_us - g->polled_us < SEC_US)
+		return;
+	g->polled_us = now.mono_us;
+	snprintf(key, sizeof(key), "fence/%s/%s", g->service, g->dc);
+	if (!g->rows_read) {
+		node_read_row(n, key, false, out);
+		return;
+	}
+	g->rows_read = false;
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state != MEMBER_GONE ||
+		    strcmp(m->record.dc, g->dc) != 0 ||
+		    len + 64 > sizeof(value))
+			continue;
+		len += snprintf(value + len, sizeof(value) - len,
+		    "%" PRIu32 ":%u:%" PRIu64 "\n", m->record.addr.ip,
+		    m->record.addr.port, m->record.incarnation);
+	}
+	node_write_row(n, key, g->rows_version, value, len, out);
+	node_read_row(n, key, false, out);
+}
+
+static void
+beat_members(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member *m;
+	uint64_t period;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->self || m->record.state >= MEMBER_LEFT)
+			continue;
+		period = strcmp(m->record.dc, g->dc) == 0
+			     ? GROUP_HEARTBEAT_US
+			     : GROUP_REMOTE_BEAT_US;
+		if (m->asked_us != 0 && now.mono_us - m->asked_us < period)
+			continue;
+		m->asked_us = now.mono_us;
+		emit_ask(n, g, m->record.addr, now, out);
+	}
+}
+
+/* Who only calls a service asks one of its members each second. */
+static void
+poll_one(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member *m, *pick = NULL;
+	uint64_t seen = 0;
+
+	if (g->polled_us != 0 && now.mono_us - g->polled_us < SEC_US)
+		return;
+	g->polled_us = now.mono_us;
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state >= MEMBER_LEFT)
+			continue;
+		if (rng_below(&n->rng, ++seen) == 0)
+			pick = m;
+	}
+	if (pick != NULL)
+		emit_ask(n, g, pick->record.addr, now, out);
+	else
+		read_rows(n, g, now, out);
+}
+
+/*
+ * A caller's daemon hears of most members only through others: silence
+ * towards us says nothing, so it is not held against them.
+ */
+static void
+keep_fresh(struct group *g, struct instant now)
+{
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members)
+		m->heard_us = now.mono_us;
+}
+
+static void
+hand_over(struct node *n, struct group *g, struct msg_list *out)
+{
+	struct ledger_record *rec = NULL;
+	struct member *m;
+	struct msg *msg;
+	uint64_t stamp_ms;
+	char dc[NAME_LEN];
+
+	while ((rec = ledger_next(n->ledger, rec)) != NULL) {
+		if (rec->state != LEDGER_STATE_RAN ||
+		    !id_parse(rec->id, &stamp_ms, dc, sizeof(dc)))
+			continue;
+		m = group_successor(g, rec->id, stamp_ms);
+		if (m == NULL)
+			continue;
+		msg = msg_emit(out, MSG_HANDOVER, m->record.addr, node_seq(n));
+		name_copy(msg->u.handover.service, g->service, NAME_LEN);
+		name_copy(msg->u.handover.org, rec->org, NAME_LEN);
+		name_copy(msg->u.handover.id, rec->id, ID_LEN);
+		msg->u.handover.kept = rec->kept;
+		if (rec->kept)
+			reply_copy(&msg->u.handover.reply, &rec->reply);
+		n->counters.values[COUNT_HANDOVERS]++;
+	}
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->self || m->record.state >= MEMBER_LEFT ||
+		    strcmp(m->record.dc, g->dc) != 0)
+			continue;
+		msg = msg_emit(out, MSG_HANDOVER, m->record.addr, node_seq(n));
+		name_copy(msg->u.handover.service, g->service, NAME_LEN);
+		msg->u.handover.last = true;
+	}
+}
+
+/* Past the leaving time and with nothing running: hand over and be gone. */
+static void
+finish_leaving(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	if (!n->target.leaving || n->target.left || n->njobs > 0 ||
+	    now.wall_ms < n->target.leave_ms)
+		return;
+	hand_over(n, g, out);
+	n->target.left = true;
+	g->self->record.state = MEMBER_LEFT;
+	broadcast(n, g, now, out);
+	n->target.row_written = false;
+	write_own_row(n, g, now, out);
+}
+
+static void
+target_tick(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	if (n->target.left)
+		return;
+	if (group_tick(g, now))
+		n->counters.values[COUNT_MEMBERS_GONE]++;
+	beat_members(n, g, now, out);
+	if (!n->target.row_written &&
+	    now.mono_us - n->target.row_us > ROW_AGAIN_US) {
+		write_own_row(n, g, now, out);
+		read_rows(n, g, now, out);
+	}
+	if (!group_has_lease(g, now, has_unfenced_gone(g)) &&
+	    has_unfenced_gone(g))
+		fence_gone(n, g, now, out);
+	finish_leaving(n, g, now, out);
+}
+
+void
+membership_tick(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct group *g, *next;
+
+	RB_FOREACH_SAFE (g, group_tree, &n->groups, next) {
+		if (g->self != NULL) {
+			target_tick(n, g, now, out);
+			continue;
+		}
+		if (now.mono_us - g->used_us > UNUSED_US) {
+			RB_REMOVE(group_tree, &n->groups, g);
+			group_destroy(g);
+			continue;
+		}
+		keep_fresh(g, now);
+		group_tick(g, now);
+		poll_one(n, g, now, out);
+	}
+}
--- /dev/null
+++ b/core/node.c
@@ -0,0 +1,365 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/node_impl.h"
+
+#define SLOW_TICK_US (100 * MSEC_US) /* between looks at slow things */
+#define STATUS_BYTES 65536
+
+struct node *
+node_create(const struct node_setup *setup)
+{
+	struct node *n = xcalloc(1, sizeof(*n));
+	int i;
+
+	n->setup = *setup;
+	for (i = 0; i < setup->nseeds && i < MAX_SEEDS; i++)
+		n->seeds[i] = setup->seeds[i];
+	n->setup.nseeds = i;
+	n->rng = setup->seed;
+	confstate_init(&n->conf, setup->parser);
+	n->quota = quota_create();
+	tree_init(&n->tree);
+	n->explain = explain_create();
+	n->ledger = ledger_create(setup->max_ids, setup->answer_bytes);
+	RB_INIT(&n->groups);
+	RB_INIT(&n->calls);
+	RB_INIT(&n->tries);
+	RB_INIT(&n->jobs);
+	TAILQ_INIT(&n->loopback);
+	retry_budget_init(&n->budget);
+	return n;
+}
+
+static void
+calls_destroy(struct node *n)
+{
+	struct entry_call *c;
+
+	while ((c = RB_ROOT(&n->calls)) != NULL) {
+		RB_REMOVE(entry_by_token, &n->calls, c);
+		request_release(&c->call.request);
+		free(c);
+	}
+}
+
+void
+node_destroy(struct node *n)
+{
+	calls_destroy(n);
+	serve_destroy(n);
+	membership_destroy(n);
+	ledger_destroy(n->ledger);
+	explain_destroy(n->explain);
+	tree_release(&n->tree);
+	quota_destroy(n->quota);
+	confstate_release(&n->conf);
+	buffer_release(&n->submission.text);
+	free(n);
+}
+
+uint64_t
+node_seq(struct node *n)
+{
+	return ++n->next_seq;
+}
+
+void
+node_read_row(
+    struct node *n, const char *key, bool prefix, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_ROW_READ, n->setup.self, node_seq(n));
+
+	name_copy(m->u.row.key, key, sizeof(m->u.row.key));
+	m->u.row.prefix = prefix;
+	n->counters.values[COUNT_PLATFORM_READS]++;
+}
+
+uint64_t
+node_write_row(struct node *n, const char *key, uint64_t version,
+    const char *value, size_t len, struct msg_list *out)
+{
+	struct msg *m =
+	    msg_emit(out, MSG_ROW_WRITE, n->setup.self, node_seq(n));
+
+	name_copy(m->u.row.key, key, sizeof(m->u.row.key));
+	m->u.row.version = version;
+	buffer_set(&m->u.row.value, value, len);
+	n->counters.values[COUNT_PLATFORM_WRITES]++;
+	return m->seq;
+}
+
+static void
+handle_row(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	const char *key = msg->u.row.key;
+
+	if (msg->u.row.status == ROW_UNKNOWN)
+		n->counters.values[COUNT_PLATFORM_UNKNOWN]++;
+	if (strcmp(key, "config") == 0) {
+		operate_row(n, msg, now, out);
+		control_row(n, msg, now, out);
+	} else if (strncmp(key, "control/", 8) == 0) {
+		control_row(n, msg, now, out);
+	} else {
+		membership_row(n, msg, now, out);
+	}
+}
+
+static void
+dispatch(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	switch (msg->kind) {
+	case MSG_CALL:
+		entry_begin(n, msg, now, out);
+		break;
+	case MSG_CALL_GONE:
+		entry_gone(n, msg->seq, out);
+		break;
+	case MSG_FORWARD:
+		serve_forward(n, msg, now, out);
+		break;
+	case MSG_REPLY:
+		entry_reply(n, msg, now, out);
+		break;
+	case MSG_CANCEL:
+		serve_cancel(n, msg, now, out);
+		break;
+	case MSG_ASK_FATE:
+		serve_ask_fate(n, msg, now, out);
+		break;
+	case MSG_FATE:
+		entry_fate(n, msg, now, out);
+		break;
+	case MSG_MEMBERS_ASK:
+		membership_ask(n, msg, now, out);
+		break;
+	case MSG_MEMBERS:
+		membership_members(n, msg, now, out);
+		break;
+	case MSG_HANDOVER:
+		serve_handover(n, msg, now);
+		break;
+	case MSG_CONFIG_ASK:
+		control_ask(n, msg, now, out);
+		break;
+	case MSG_CONFIG:
+		control_config(n, msg, now, out);
+		break;
+	case MSG_SHARE_ASK:
+		control_share_ask(n, msg, now, out);
+		break;
+	case MSG_SHARE:
+		control_share(n, msg, now, out);
+		break;
+	case MSG_LINK_DOWN:
+		n->counters.values[COUNT_LINKS_LOST]++;
+		control_link_down(n, msg->peer, now);
+		entry_link_down(n, msg->peer, msg->sent, now, out);
+		break;
+	case MSG_RUN_DONE:
+		serve_done(n, msg, now, out);
+		break;
+	case MSG_ANNOUNCE:
+		membership_announce(n, msg, now, out);
+		break;
+	case MSG_ROW:
+		handle_row(n, msg, now, out);
+		break;
+	case MSG_OPS:
+		operate(n, msg, now, out);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool
+is_between_daemons(enum msg_kind kind)
+{
+	return kind >= MSG_FORWARD && kind <= MSG_SHARE;
+}
+
+static bool
+is_control(enum msg_kind kind)
+{
+	return kind >= MSG_MEMBERS_ASK && kind <= MSG_SHARE;
+}
+
+/* Messages to this daemon itself skip the link. */
+static void
+take_loopback(struct node *n, struct msg_list *out)
+{
+	struct msg *m, *next;
+
+	TAILQ_FOREACH_SAFE (m, out, entry, next) {
+		if (!is_between_daemons(m->kind))
+			continue;
+		if (!addr_equal(m->peer, n->setup.self)) {
+			if (is_control(m->kind))
+				n->counters.values[COUNT_CONTROL_MESSAGES]++;
+			continue;
+		}
+		TAILQ_REMOVE(out, m, entry);
+		TAILQ_INSERT_TAIL(&n->loopback, m, entry);
+	}
+}
+
+/* Take from fresh what goes elsewhere, and handle what comes back to us. */
+static void
+drain_loopback(struct node *n, struct msg_list *fresh, struct instant now,
+    struct msg_list *out)
+{
+	struct msg *m;
+
+	take_loopback(n, fresh);
+	TAILQ_CONCAT(out, fresh, entry);
+	while ((m = TAILQ_FIRST(&n->loopback)) != NULL) {
+		TAILQ_REMOVE(&n->loopback, m, entry);
+		dispatch(n, m, now, fresh);
+		msg_destroy(m);
+		take_loopback(n, fresh);
+		TAILQ_CONCAT(out, fresh, entry);
+	}
+}
+
+void
+node_handle(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct msg_list fresh = TAILQ_HEAD_INITIALIZER(fresh);
+
+	dispatch(n, msg, now, &fresh);
+	msg_destroy(msg);
+	drain_loopback(n, &fresh, now, out);
+}
+
+void
+node_tick(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct msg_list fresh = TAILQ_HEAD_INITIALIZER(fresh);
+
+	entry_tick(n, now, &fresh);
+	serve_tick(n, now, &fresh);
+	if (n->slow_tick_us == 0 ||
+	    now.mono_us - n->slow_tick_us >= SLOW_TICK_US) {
+		control_tick(n, now, &fresh);
+		membership_tick(n, now, &fresh);
+		operate_tick(n, now, &fresh);
+		if (n->target.shed != NULL)
+			shed_tick(n->target.shed);
+		ledger_tick(n->ledger, now);
+		n->slow_tick_us = now.mono_us;
+	}
+	n->last_tick_us = now.mono_us;
+	drain_loopback(n, &fresh, now, out);
+}
+
+uint64_t
+node_wake(const struct node *n)
+{
+	if (n->ncalls > 0 || n->njobs > 0)
+		return NODE_BUSY_TICK_US;
+	return NODE_IDLE_TICK_US;
+}
+
+bool
+node_is_drained(const struct node *n)
+{
+	return n->draining && n->ncalls == 0 && n->njobs == 0 &&
+	       (!n->target.present || n->target.left);
+}
+
+uint64_t
+node_version(const struct node *n)
+{
+	return n->conf.version;
+}
+
+bool
+node_is_draining(const struct node *n)
+{
+	return n->draining;
+}
+
+const struct counters *
+node_counters(const struct node *n)
+{
+	return &n->counters;
+}
+
+static size_t
+print_groups(struct node *n, char *buf, size_t len, struct instant now)
+{
+	static const char *const states[] = {
+	    "alive", "leaving", "left", "gone"};
+	struct group *g;
+	struct member *m;
+	size_t used = 0;
+
+	RB_FOREACH (g, group_tree, &n->groups) {
+		RB_FOREACH (m, member_tree, &g->members) {
+			if (len - used < 512)
+				return used;
+			used += snprintf(buf + used, len - used,
+			    "member service=%s addr=%u.%u.%u.%u:%u dc=%s "
+			    "state=%s incarnation=%" PRIu64
+			    " load_permille=%u lease=%s\n",
+			    g->service, m->record.addr.ip >> 24,
+			    (m->record.addr.ip >> 16) & 255,
+			    (m->record.addr.ip >> 8) & 255,
+			    m->record.addr.ip & 255, m->record.addr.port,
+			    m->record.dc, states[m->record.state],
+			    m->record.incarnation, m->load,
+			    m->self ? (group_has_lease(g, now, false) ? "held"
+								      : "none")
+				    : (m->lease_us > now.mono_us ? "granted"
+								 : "-"));
+		}
+	}
+	return used;
+}
+
+static size_t
+print_counters(const struct node *n, char *buf, size_t len)
+{
+	size_t used = 0;
+	int i;
+
+	for (i = 0; i < COUNT_COUNT; i++)
+		used += snprintf(buf + used, len - used, "%s %" PRIu64 "\n",
+		    counter_name(i), n->counters.values[i]);
+	for (i = 1; i < REASON_COUNT; i++)
+		used +=
+		    snprintf(buf + used, len - used, "refused_%s %" PRIu64 "\n",
+			reason_name(i), n->counters.refused[i]);
+	return used;
+}
+
+char *
+node_status(struct node *n, struct instant now)
+{
+	char *buf = xcalloc(1, STATUS_BYTES);
+	size_t used = 0;
+
+	used += snprintf(buf, STATUS_BYTES,
+	    "config_version %" PRIu64 "\nconfig_age_ms %" PRIu64
+	    "\ntree_root %d\ntree_epoch %" PRIu64 "\ntree_children %d\n"
+	    "calls_now %zu\njobs_now %zu\nids_remembered %zu\n"
+	    "limit_now %u\nwaiting_now %zu\nthreshold_class %u\n"
+	    "draining %d\n",
+	    n->conf.version, (now.mono_us - n->conf.confirmed_us) / MSEC_US,
+	    n->tree.is_root, n->tree.epoch, n->tree.nchildren, n->ncalls,
+	    n->njobs, ledger_count(n->ledger), limit_now(&n->target.limit),
+	    n->target.shed ? shed_count(n->target.shed) : 0,
+	    n->target.shed ? shed_threshold(n->target.shed).importance : 0,
+	    n->draining);
+	used += print_counters(n, buf + used, STATUS_BYTES - used);
+	print_groups(n, buf + used, STATUS_BYTES - used, now);
+	return buf;
+}
--- /dev/null
+++ b/core/node.h
@@ -0,0 +1,71 @@
+/*
+ * node - all decisions of one daemon
+ *
+ * A node takes one message and the time, and leaves messages to send on a
+ * list.  It does nothing else: no sockets, files, clocks or threads, and its
+ * random numbers come from a seed.  So the same messages at the same times
+ * give the same decisions, in a daemon and in a replay.
+ *
+ *	n = node_create(&setup);
+ *	node_handle(n, msg, now, &out);		takes msg over
+ *	node_tick(n, now, &out);		at node_wake(n) or earlier
+ *	node_destroy(n);
+ *
+ * Messages on the list go by kind: MSG_ANSWER to the front task, MSG_RUN to
+ * the target task, MSG_ROW_READ to the platform task, those between daemons
+ * to the link task by msg->peer, and so on.
+ *
+ * The way of a call: entry.c takes it from a caller and chooses the target,
+ * serve.c queues and runs it at the target's daemon, entry.c answers.
+ */
+#ifndef CORE_NODE_H
+#define CORE_NODE_H
+
+#include "core/balance.h"
+#include "core/confstate.h"
+#include "core/counters.h"
+#include "core/limit.h"
+#include "core/msg.h"
+#include "core/shed.h"
+
+#define NODE_BUSY_TICK_US (5 * MSEC_US) /* while calls are in progress */
+#define NODE_IDLE_TICK_US (100 * MSEC_US)
+
+struct node_setup {
+	struct addr self;
+	char dc[NAME_LEN];
+	uint64_t incarnation; /* wall time of the start, in ms */
+	uint64_t seed;
+	const struct balancer *balancer;
+	const struct limiter *limiter;
+	const struct shedder *shedder; /* NULL: as the policy weighs */
+	const struct catalog_parser *parser;
+	const struct addr *seeds; /* daemons to ask when the platform is out */
+	int nseeds;
+	size_t max_calls; /* callers' calls at once */
+	size_t max_queue; /* calls that wait for the target */
+	size_t max_ids; /* ids that the ledger remembers */
+	size_t answer_bytes; /* of answers that it keeps */
+	uint64_t default_deadline_us;
+	uint64_t max_deadline_us;
+};
+
+struct node;
+
+struct node *node_create(const struct node_setup *);
+void node_destroy(struct node *);
+void node_handle(
+    struct node *, struct msg *, struct instant now, struct msg_list *out);
+void node_tick(struct node *, struct instant now, struct msg_list *out);
+/* How long until the next tick is due, in microseconds. */
+uint64_t node_wake(const struct node *);
+/* Whether a leaving node has finished all that it had to do. */
+bool node_is_drained(const struct node *);
+/* The version of the configuration in force; 0: none. */
+uint64_t node_version(const struct node *);
+bool node_is_draining(const struct node *);
+const struct counters *node_counters(const struct node *);
+/* Print the state for operators, "name value" lines; the caller frees it. */
+char *node_status(struct node *, struct instant now);
+
+#endif
--- /dev/null
+++ b/core/node_impl.h
@@ -0,0 +1,210 @@
+/*
+ * node_impl - what the files that make up a node share; private to core/
+ *
+ * entry.c	calls of callers: key, rate, choice of target, tries, answer
+ * serve.c	calls at the target's daemon: ledger, queue, limit, reply
+ * membership.c	groups: heartbeats, rows, joining and leaving
+ * control.c	the tree: configuration, shares of rates
+ * operate.c	operators' requests
+ * node.c	dispatch of messages and ticks
+ */
+#ifndef CORE_NODE_IMPL_H
+#define CORE_NODE_IMPL_H
+
+#include "core/explain.h"
+#include "core/ledger.h"
+#include "core/node.h"
+#include "core/quota.h"
+#include "core/retry.h"
+#include "core/tree.h"
+
+#define MAX_SEEDS 8
+
+/* What a call at the entry daemon waits for. */
+enum entry_state {
+	ENTRY_TOKEN, /* a token of the organisation's rate */
+	ENTRY_MEMBERS, /* word of any target of the service */
+	ENTRY_BACKOFF, /* the time of the next try */
+	ENTRY_SENT, /* the reply */
+	ENTRY_ASKING, /* what became of a try whose link broke */
+};
+
+struct entry_call {
+	RB_ENTRY(entry_call) by_token;
+	RB_ENTRY(entry_call) by_seq;
+	uint64_t token; /* the front task's number */
+	uint64_t seq; /* of the present try; 0: none */
+	enum entry_state state;
+	struct call call;
+	char service[NAME_LEN];
+	char route[PATH_LEN];
+	char id[ID_LEN];
+	char id_dc[NAME_LEN];
+	uint64_t stamp_ms;
+	bool idempotent;
+	bool keyed; /* charged to the key's organisation */
+	struct call_context context;
+	struct balance_call balance;
+	uint64_t begun_us;
+	uint64_t deadline_us;
+	uint64_t wake_us; /* when to look at it again */
+	uint64_t ask_until_us; /* give up asking for the fate */
+	struct addr target;
+	uint64_t target_incarnation;
+	uint32_t allowance; /* extra tries that are left here */
+	uint32_t tries; /* made in the whole tree below */
+	uint32_t retries; /* made here */
+	uint64_t job; /* the local job that made the call; 0: none */
+};
+
+/* A call at its target's daemon. */
+struct job {
+	RB_ENTRY(job) by_seq;
+	uint64_t seq; /* our number, which the context carries */
+	struct addr from;
+	uint64_t from_seq;
+	struct forward forward;
+	struct shed_item item;
+	struct ledger_record *record; /* NULL for an idempotent call */
+	uint64_t started_us; /* 0 while it waits */
+	uint64_t deadline_us;
+	uint32_t allowance;
+	uint32_t tries; /* of its sub-calls */
+};
+
+RB_HEAD(entry_by_token, entry_call);
+RB_HEAD(entry_by_seq, entry_call);
+RB_HEAD(job_tree, job);
+RB_HEAD(group_tree, group);
+
+RB_PROTOTYPE(entry_by_token, entry_call, by_token, entry_token_cmp);
+RB_PROTOTYPE(entry_by_seq, entry_call, by_seq, entry_seq_cmp);
+RB_PROTOTYPE(job_tree, job, by_seq, job_cmp);
+RB_PROTOTYPE(group_tree, group, entry, group_cmp);
+
+/* The target that announced itself to this daemon. */
+struct local_target {
+	char service[NAME_LEN];
+	uint32_t slots;
+	bool present;
+	bool leaving;
+	bool left;
+	bool row_written;
+	uint64_t leave_ms; /* wall time from which it owns no new ids */
+	uint64_t row_us; /* last write of its row */
+	uint64_t mean_us; /* what a call takes, smoothed */
+	unsigned int running;
+	struct limit limit;
+	struct shed *shed;
+};
+
+/* An operator's new configuration on its way to the platform. */
+struct submission {
+	uint64_t seq; /* of the operator's request; 0: none */
+	uint64_t from; /* the version that it was made from */
+	uint64_t due_us; /* when to look again, after a lost answer */
+	unsigned int rounds;
+	bool unsure; /* a write's answer was lost: read it back */
+	char mark[NAME_LEN]; /* tells our row from another's */
+	struct buffer text; /* the row's new value */
+};
+
+struct node {
+	struct node_setup setup;
+	struct addr seeds[MAX_SEEDS];
+	struct counters counters;
+	struct confstate conf;
+	struct quota *quota;
+	struct tree tree;
+	struct explain *explain;
+	struct group_tree groups;
+	struct entry_by_token calls;
+	struct entry_by_seq tries;
+	size_t ncalls;
+	struct job_tree jobs;
+	size_t njobs;
+	struct ledger *ledger;
+	struct local_target target;
+	struct retry_budget budget;
+	struct submission submission;
+	struct msg_list loopback;
+	uint64_t rng;
+	uint64_t next_seq;
+	uint64_t last_tick_us;
+	uint64_t slow_tick_us;
+	bool draining;
+};
+
+/* entry.c */
+void entry_begin(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void entry_gone(struct node *, uint64_t token, struct msg_list *);
+void entry_reply(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void entry_fate(struct node *, struct msg *, struct instant, struct msg_list *);
+void entry_link_down(
+    struct node *, struct addr, bool sent, struct instant, struct msg_list *);
+void entry_tick(struct node *, struct instant, struct msg_list *);
+/* The configuration changed: look at the keys of all calls again. */
+void entry_recheck(struct node *, struct instant, struct msg_list *);
+/* Tokens or members came: look at the calls that wait for them. */
+void entry_wake(struct node *, struct instant, struct msg_list *);
+
+/* serve.c */
+void serve_forward(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void serve_done(struct node *, struct msg *, struct instant, struct msg_list *);
+void serve_cancel(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void serve_ask_fate(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void serve_handover(struct node *, struct msg *, struct instant);
+void serve_tick(struct node *, struct instant, struct msg_list *);
+struct job *serve_find(struct node *, uint64_t seq);
+void serve_destroy(struct node *);
+
+/* membership.c */
+struct group *membership_group(struct node *, const char *service);
+struct group *membership_find(struct node *, const char *service);
+void membership_announce(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void membership_ask(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void membership_members(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void membership_row(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void membership_leave(struct node *, struct instant, struct msg_list *);
+void membership_tick(struct node *, struct instant, struct msg_list *);
+void membership_destroy(struct node *);
+
+/* control.c */
+void control_ask(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void control_config(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void control_share_ask(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void control_share(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void control_row(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void control_link_down(struct node *, struct addr, struct instant);
+/* Ask for shares now if some call is short of a token. */
+void control_shortage(struct node *, struct instant, struct msg_list *);
+void control_tick(struct node *, struct instant, struct msg_list *);
+
+/* operate.c */
+void operate(struct node *, struct msg *, struct instant, struct msg_list *);
+void operate_row(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void operate_tick(struct node *, struct instant, struct msg_list *);
+
+/* node.c */
+uint64_t node_seq(struct node *);
+void node_read_row(
+    struct node *, const char *key, bool prefix, struct msg_list *);
+uint64_t node_write_row(struct node *, const char *key, uint64_t version,
+    const char *value, size_t len, struct msg_list *);
+
+#endif
--- /dev/null
+++ b/core/serve.c
@@ -0,0 +1,494 @@
+/*
+ * A call at the daemon of its target: whether it may run at all, when, and
+ * what its reply says.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/node_impl.h"
+
+#define MEAN_SMOOTHING 8 /* one part in so many comes from the last call */
+
+static int
+job_cmp(struct job *a, struct job *b)
+{
+	return a->seq < b->seq ? -1 : a->seq > b->seq;
+}
+
+RB_GENERATE(job_tree, job, by_seq, job_cmp);
+
+struct job *
+serve_find(struct node *n, uint64_t seq)
+{
+	struct job want;
+
+	want.seq = seq;
+	return RB_FIND(job_tree, &n->jobs, &want);
+}
+
+static void
+job_free(struct node *n, struct job *j)
+{
+	RB_REMOVE(job_tree, &n->jobs, j);
+	n->njobs--;
+	request_release(&j->forward.request);
+	free(j);
+}
+
+void
+serve_destroy(struct node *n)
+{
+	struct job *j;
+
+	while ((j = RB_ROOT(&n->jobs)) != NULL)
+		job_free(n, j);
+	if (n->target.shed != NULL)
+		shed_destroy(n->target.shed);
+}
+
+/* What every reply tells the entry daemon about this target. */
+static void
+add_hints(struct node *n, struct reply *r)
+{
+	unsigned int limit = limit_now(&n->target.limit);
+
+	if (n->target.shed == NULL)
+		return;
+	r->threshold = shed_threshold(n->target.shed);
+	r->load = (n->target.running + shed_count(n->target.shed)) * 1000 /
+		  (limit ? limit : 1);
+	r->leaving = n->target.leaving;
+}
+
+static void
+send_failure(struct node *n, struct addr to, uint64_t seq, struct failure f,
+    uint32_t allowance, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_REPLY, to, seq);
+
+	reply_fail(&m->u.reply, f);
+	m->u.reply.allowance = allowance;
+	add_hints(n, &m->u.reply);
+}
+
+static void
+send_copy(struct node *n, struct addr to, uint64_t seq,
+    const struct reply *reply, struct msg_list *out)
+{
+	struct msg *m = msg_emit(out, MSG_REPLY, to, seq);
+
+	reply_copy(&m->u.reply, reply);
+	m->u.reply.allowance = 0;
+	m->u.reply.tries = 0;
+	add_hints(n, &m->u.reply);
+}
+
+static void
+note_decision(struct node *n, const struct forward *f, struct addr entry,
+    struct failure failure, struct instant now)
+{
+	struct decision *d = explain_add(n->explain);
+
+	d->step = "serve";
+	d->at_ms = now.wall_ms;
+	d->tree = f->context.tree;
+	d->target = entry;
+	d->failure = failure;
+	name_copy(d->id, f->id, sizeof(d->id));
+	name_copy(d->org, f->context.org, sizeof(d->org));
+	name_copy(d->service, f->service, sizeof(d->service));
+	snprintf(d->figure, sizeof(d->figure),
+	    "running=%u limit=%u waiting=%zu delay_ms=%" PRIu64,
+	    n->target.running, limit_now(&n->target.limit),
+	    n->target.shed ? shed_count(n->target.shed) : 0,
+	    n->target.shed ? shed_delay_us(n->target.shed) / MSEC_US : 0);
+}
+
+/* Everyone who waits for the record gets the outcome. */
+static void
+reply_waiters(struct node *n, struct ledger_record *rec,
+    const struct reply *reply, struct msg_list *out)
+{
+	struct ledger_waiter *w;
+
+	while ((w = LIST_FIRST(&rec->waiters)) != NULL) {
+		send_copy(n, w->entry_daemon, w->seq, reply, out);
+		LIST_REMOVE(w, entry);
+		free(w);
+	}
+}
+
+/* A job that never reached the target ends: "not run" is true. */
+static void
+refuse_job(struct node *n, struct job *j, enum reason reason,
+    struct instant now, struct msg_list *out)
+{
+	struct failure f = failure_make(VERDICT_NOT_RUN, reason);
+	struct reply reply;
+
+	note_decision(n, &j->forward, j->from, f, now);
+	if (j->record != NULL) {
+		memset(&reply, 0, sizeof(reply));
+		reply_fail(&reply, f);
+		reply_waiters(n, j->record, &reply, out);
+		ledger_forget(n->ledger, j->record);
+	}
+	send_failure(n, j->from, j->from_seq, f, j->allowance, out);
+	job_free(n, j);
+}
+
+static enum ledger_verdict
+begin_record(struct node *n, const struct msg *msg, struct instant now,
+    struct ledger_record **rec)
+{
+	const struct forward *f = &msg->u.forward;
+
+	return ledger_begin(
+	    n->ledger, f->context.org, f->id, msg->peer, msg->seq, now, rec);
+}
+
+/* Whether this daemon may run a new id, by its own view and lease. */
+static bool
+owns_id(struct node *n, const struct forward *f, struct instant now,
+    struct failure *failure)
+{
+	struct group *g = membership_find(n, f->service);
+	char dc[NAME_LEN];
+	uint64_t stamp_ms;
+	struct owner o;
+
+	*failure = failure_make(VERDICT_NOT_RUN, REASON_NOT_OWNER);
+	if (g == NULL || g->self == NULL ||
+	    !id_parse(f->id, &stamp_ms, dc, sizeof(dc)))
+		return false;
+	o = group_owner(g, dc, f->id, stamp_ms, now);
+	if (o.kind == OWNER_SELF)
+		return true;
+	if (o.kind == OWNER_DOUBT)
+		*failure =
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_OWNER_LOST);
+	if (o.kind == OWNER_NO_LEASE)
+		failure->reason = REASON_NO_LEASE;
+	return false;
+}
+
+/*
+ * An id that was seen before is answered from its record.  True if that
+ * was all there was to do.
+ */
+static bool
+answer_from_ledger(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct forward *f = &msg->u.forward;
+	struct ledger_record *rec =
+	    ledger_find(n->ledger, f->context.org, f->id);
+	struct failure failure;
+
+	if (rec == NULL)
+		return false;
+	switch (rec->state) {
+	case LEDGER_STATE_RUNNING:
+		ledger_wait(rec, msg->peer, msg->seq);
+		return true;
+	case LEDGER_STATE_RAN:
+		n->counters.values[COUNT_LEDGER_REPLAYS]++;
+		if (rec->kept) {
+			send_copy(n, msg->peer, msg->seq, &rec->reply, out);
+			return true;
+		}
+		failure = failure_make(VERDICT_RAN, REASON_ANSWER_GONE);
+		break;
+	case LEDGER_STATE_DOUBT:
+		failure =
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED);
+		break;
+	default:
+		return false;
+	}
+	note_decision(n, f, msg->peer, failure, now);
+	send_failure(
+	    n, msg->peer, msg->seq, failure, f->context.allowance, out);
+	return true;
+}
+
+/* Checks of a call that is new here; the record is made last. */
+static bool
+admit(struct node *n, struct msg *msg, struct instant now,
+    struct ledger_record **rec, struct failure *failure)
+{
+	struct forward *f = &msg->u.forward;
+
+	*failure = failure_make(VERDICT_NOT_RUN, REASON_NO_TARGET);
+	if (!n->target.present || strcmp(n->target.service, f->service) != 0)
+		return false;
+	failure->reason = REASON_LEAVING;
+	if (n->target.left ||
+	    (n->target.leaving && now.wall_ms >= n->target.leave_ms))
+		return false;
+	failure->reason = REASON_DEADLINE;
+	if (f->context.deadline_ms == 0)
+		return false;
+	if (f->idempotent)
+		return true;
+	if (!owns_id(n, f, now, failure))
+		return false;
+	switch (begin_record(n, msg, now, rec)) {
+	case LEDGER_NEW:
+		return true;
+	case LEDGER_FULL:
+		*failure = failure_make(VERDICT_NOT_RUN, REASON_LEDGER_FULL);
+		return false;
+	default:
+		*failure = failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST);
+		return false;
+	}
+}
+
+static struct job *
+job_create(struct node *n, struct msg *msg, struct ledger_record *rec,
+    struct instant now)
+{
+	struct job *j = xcalloc(1, sizeof(*j));
+
+	j->seq = node_seq(n);
+	j->from = msg->peer;
+	j->from_seq = msg->seq;
+	j->forward = msg->u.forward;
+	memset(&msg->u.forward.request, 0, sizeof(msg->u.forward.request));
+	j->record = rec;
+	j->allowance = j->forward.context.allowance;
+	j->deadline_us = now.mono_us + j->forward.context.deadline_ms * MSEC_US;
+	j->item.owner = j;
+	j->item.importance = j->forward.context.importance;
+	j->item.level = j->forward.context.level;
+	j->item.deadline_us = j->deadline_us;
+	name_copy(j->item.org, j->forward.context.org, sizeof(j->item.org));
+	RB_INSERT(job_tree, &n->jobs, j);
+	n->njobs++;
+	return j;
+}
+
+static void
+start_job(
+    struct node *n, struct job *j, struct instant now, struct msg_list *out)
+{
+	struct msg *m;
+	struct failure f;
+
+	/* The lease is looked at again: the call may have waited. */
+	if (j->record != NULL && !owns_id(n, &j->forward, now, &f)) {
+		refuse_job(n, j, REASON_NO_LEASE, now, out);
+		return;
+	}
+	j->started_us = now.mono_us;
+	n->target.running++;
+	n->counters.values[COUNT_JOBS_STARTED]++;
+	m = msg_emit(out, MSG_RUN, n->setup.self, j->seq);
+	m->u.forward = j->forward;
+	memset(&m->u.forward.request, 0, sizeof(m->u.forward.request));
+	request_move(&m->u.forward.request, &j->forward.request);
+	m->u.forward.context.job = j->seq;
+	m->u.forward.context.deadline_ms =
+	    (j->deadline_us - now.mono_us) / MSEC_US + 1;
+}
+
+/* Start what the limit allows, and refuse what waited too long. */
+static void
+pump(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct shed_items expired = TAILQ_HEAD_INITIALIZER(expired);
+	struct local_target *t = &n->target;
+	struct shed_item *it;
+	struct job *j;
+
+	while (t->running < limit_now(&t->limit)) {
+		it = shed_take(t->shed, now, t->mean_us, &expired);
+		if (it == NULL)
+			break;
+		start_job(n, it->owner, now, out);
+	}
+	while ((it = TAILQ_FIRST(&expired)) != NULL) {
+		TAILQ_REMOVE(&expired, it, entry);
+		j = it->owner;
+		refuse_job(n, j,
+		    now.mono_us + t->mean_us >= j->deadline_us ? REASON_DEADLINE
+							       : REASON_SHED,
+		    now, out);
+	}
+}
+
+static bool
+threshold_applies(struct node *n, const struct job *j)
+{
+	return n->target.running >= limit_now(&n->target.limit) &&
+	       threshold_refuses(shed_threshold(n->target.shed),
+		   j->item.importance, j->item.level);
+}
+
+void
+serve_forward(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct forward *f = &msg->u.forward;
+	struct ledger_record *rec = NULL;
+	struct shed_item *victim = NULL;
+	struct failure failure;
+	struct job *j;
+
+	if (!f->idempotent && answer_from_ledger(n, msg, now, out))
+		return;
+	if (!admit(n, msg, now, &rec, &failure)) {
+		note_decision(n, f, msg->peer, failure, now);
+		send_failure(
+		    n, msg->peer, msg->seq, failure, f->context.allowance, out);
+		return;
+	}
+	j = job_create(n, msg, rec, now);
+	if (threshold_applies(n, j) ||
+	    !shed_offer(n->target.shed, &j->item, now, &victim)) {
+		refuse_job(n, j, REASON_SHED, now, out);
+		return;
+	}
+	if (victim != NULL)
+		refuse_job(n, victim->owner, REASON_SHED, now, out);
+	pump(n, now, out);
+}
+
+static void
+learn_time(struct node *n, const struct reply *r, uint64_t took_us)
+{
+	struct local_target *t = &n->target;
+	bool ok = r->failure.reason == REASON_NONE && r->status < 500;
+
+	limit_finished(&t->limit, took_us, t->running, ok);
+	if (t->mean_us == 0)
+		t->mean_us = took_us;
+	else
+		t->mean_us +=
+		    ((int64_t)took_us - (int64_t)t->mean_us) / MEAN_SMOOTHING;
+}
+
+static void
+settle_record(
+    struct node *n, struct job *j, const struct reply *r, struct msg_list *out)
+{
+	struct ledger_record *rec = j->record;
+
+	if (rec == NULL)
+		return;
+	reply_waiters(n, rec, r, out);
+	if (r->failure.reason == REASON_NONE)
+		ledger_finish(n->ledger, rec, r);
+	else if (r->failure.verdict == VERDICT_NOT_RUN)
+		ledger_forget(n->ledger, rec);
+	else
+		ledger_doubt(rec);
+}
+
+void
+serve_done(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct job *j = serve_find(n, msg->seq);
+	struct reply *r = &msg->u.reply;
+	struct msg *m;
+
+	if (j == NULL || j->started_us == 0)
+		return;
+	n->target.running--;
+	n->counters.values[COUNT_JOBS_DONE]++;
+	learn_time(n, r, now.mono_us - j->started_us);
+	note_decision(n, &j->forward, j->from, r->failure, now);
+	settle_record(n, j, r, out);
+	m = msg_emit(out, MSG_REPLY, j->from, j->from_seq);
+	reply_move(&m->u.reply, r);
+	m->u.reply.allowance = j->allowance;
+	m->u.reply.tries = j->tries;
+	add_hints(n, &m->u.reply);
+	job_free(n, j);
+	pump(n, now, out);
+}
+
+void
+serve_cancel(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct job *j;
+
+	RB_FOREACH (j, job_tree, &n->jobs) {
+		if (j->from_seq == msg->seq && addr_equal(j->from, msg->peer))
+			break;
+	}
+	if (j == NULL)
+		return;
+	n->counters.values[COUNT_JOBS_CANCELLED]++;
+	if (j->started_us == 0) {
+		/* Others may wait for the same id: then it goes on. */
+		if (j->record != NULL && !LIST_EMPTY(&j->record->waiters))
+			return;
+		shed_remove(n->target.shed, &j->item);
+		refuse_job(n, j, REASON_CANCELLED, now, out);
+		return;
+	}
+	if (!msg->queued_only && j->record == NULL)
+		msg_emit(out, MSG_RUN_CANCEL, n->setup.self, j->seq);
+}
+
+void
+serve_ask_fate(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct fate *f = &msg->u.fate;
+	struct ledger_record *rec;
+	enum fate_state state;
+	struct msg *m;
+
+	/* An earlier life of this daemon took its ledger along. */
+	if (f->incarnation < n->setup.incarnation)
+		state = FATE_DOUBT;
+	else
+		state = ledger_ask(
+		    n->ledger, f->org, f->id, msg->peer, f->seq, now, &rec);
+	if (state == FATE_TOMBSTONE)
+		n->counters.values[COUNT_TOMBSTONES]++;
+	m = msg_emit(out, MSG_FATE, msg->peer, msg->seq);
+	m->u.fate = *f;
+	m->u.fate.state = state;
+	if (state == FATE_RUNNING)
+		ledger_wait(rec, msg->peer, f->seq);
+	if (state != FATE_RAN)
+		return;
+	if (rec->kept)
+		send_copy(n, msg->peer, f->seq, &rec->reply, out);
+	else
+		send_failure(n, msg->peer, f->seq,
+		    failure_make(VERDICT_RAN, REASON_ANSWER_GONE), 0, out);
+}
+
+void
+serve_handover(struct node *n, struct msg *msg, struct instant now)
+{
+	struct handover *h = &msg->u.handover;
+	struct group *g = membership_find(n, h->service);
+	struct member *m = g != NULL ? group_find(g, msg->peer) : NULL;
+
+	if (m == NULL)
+		return;
+	if (h->last) {
+		m->handed = true;
+		return;
+	}
+	ledger_adopt(n->ledger, h->org, h->id, &h->reply, h->kept, now);
+}
+
+void
+serve_tick(struct node *n, struct instant now, struct msg_list *out)
+{
+	if (n->target.shed == NULL)
+		return;
+	pump(n, now, out);
+}
--- /dev/null
+++ b/core/tree.c
@@ -0,0 +1,108 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "core/tree.h"
+
+void
+tree_init(struct tree *t)
+{
+	memset(t, 0, sizeof(*t));
+	TAILQ_INIT(&t->children);
+}
+
+static void
+remove_child(struct tree *t, struct tree_child *c)
+{
+	TAILQ_REMOVE(&t->children, c, entry);
+	t->nchildren--;
+	free(c);
+}
+
+void
+tree_release(struct tree *t)
+{
+	struct tree_child *c;
+
+	while ((c = TAILQ_FIRST(&t->children)) != NULL)
+		remove_child(t, c);
+}
+
+struct tree_child *
+tree_child(struct tree *t, struct addr addr)
+{
+	struct tree_child *c;
+
+	TAILQ_FOREACH (c, &t->children, entry) {
+		if (addr_equal(c->addr, addr))
+			return c;
+	}
+	return NULL;
+}
+
+void
+tree_remove_child(struct tree *t, struct addr addr)
+{
+	struct tree_child *c = tree_child(t, addr);
+
+	if (c != NULL)
+		remove_child(t, c);
+}
+
+static struct addr
+random_child(struct tree *t, uint64_t *rng)
+{
+	struct tree_child *c = TAILQ_FIRST(&t->children);
+	uint64_t i = rng_below(rng, t->nchildren);
+
+	while (i-- > 0)
+		c = TAILQ_NEXT(c, entry);
+	return c->addr;
+}
+
+bool
+tree_admit(struct tree *t, struct addr addr, uint64_t version, uint64_t now_us,
+    uint64_t *rng, struct addr *redirect)
+{
+	struct tree_child *c = tree_child(t, addr);
+
+	if (c == NULL && t->nchildren >= TREE_CHILDREN) {
+		*redirect = random_child(t, rng);
+		return false;
+	}
+	if (c == NULL) {
+		c = xcalloc(1, sizeof(*c));
+		c->addr = addr;
+		TAILQ_INSERT_TAIL(&t->children, c, entry);
+		t->nchildren++;
+	}
+	c->heard_us = now_us;
+	c->version = version;
+	return true;
+}
+
+void
+tree_tick(struct tree *t, uint64_t now_us)
+{
+	struct tree_child *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &t->children, entry, next) {
+		if (now_us - c->heard_us > TREE_CHILD_US)
+			remove_child(t, c);
+	}
+}
+
+void
+tree_set_parent(struct tree *t, struct addr addr, uint64_t now_us)
+{
+	t->parent = addr;
+	t->accepted = false;
+	t->heard_us = now_us;
+	t->asked_us = 0;
+}
+
+bool
+addr_is_set(struct addr a)
+{
+	return a.port != 0;
+}
