--- /dev/null
+++ b/config/settings.c
@@ -0,0 +1,292 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/ini.h"
+#include "config/settings.h"
+
+enum setting_kind {
+	SETTING_ADDR,
+	SETTING_PEERS,
+	SETTING_NAME,
+	SETTING_PATH,
+	SETTING_NUMBER,
+};
+
+struct setting {
+	const char *name;
+	enum setting_kind kind;
+	size_t offset; /* in struct settings */
+	bool required;
+	uint64_t def, min, max; /* for numbers */
+	const char *text_def; /* for names */
+	const char *unit;
+	const char *meaning;
+};
+
+#define AT(field) offsetof(struct settings, field)
+
+static const struct setting table[] = {
+    {"datacentre", SETTING_NAME, AT(datacentre), true, 0, 0, 0, "", "name",
+	"the data centre that this host stands in"},
+    {"secret-file", SETTING_PATH, AT(secret_file), true, 0, 0, 0, "", "path",
+	"file with the fleet's secret, at least 32 bytes"},
+    {"link", SETTING_ADDR, AT(link), true, 0, 0, 0, "", "ip:port",
+	"where other daemons reach this one"},
+    {"callers", SETTING_ADDR, AT(callers), true, 0, 0, 0, "", "ip:port",
+	"where callers reach this daemon"},
+    {"operators", SETTING_ADDR, AT(operators), true, 0, 0, 0, "", "ip:port",
+	"where operators and the local target reach this daemon"},
+    {"platform", SETTING_ADDR, AT(platform), true, 0, 0, 0, "", "ip:port",
+	"the platform's table service"},
+    {"peers", SETTING_PEERS, AT(peers), false, 0, 0, 0, "", "ip:port ...",
+	"daemons to ask first while the platform is out"},
+    {"max-calls", SETTING_NUMBER, AT(max_calls), false, 2000, 1, 100000, "",
+	"calls", "callers' calls that are held at once"},
+    {"max-queue", SETTING_NUMBER, AT(max_queue), false, 512, 1, 100000, "",
+	"calls", "calls that wait for the local target"},
+    {"max-ids", SETTING_NUMBER, AT(max_ids), false, 50000, 100, 10000000, "",
+	"ids", "ids that the ledger remembers"},
+    {"max-links", SETTING_NUMBER, AT(max_links), false, 1024, 8, 65536, "",
+	"links", "links to other daemons at once"},
+    {"answer-bytes", SETTING_NUMBER, AT(answer_bytes), false, 4194304, 0,
+	1073741824, "", "bytes", "answers that the ledger keeps"},
+    {"max-header-bytes", SETTING_NUMBER, AT(max_header_bytes), false, 16384,
+	1024, 1048576, "", "bytes", "headers of one request"},
+    {"max-body-bytes", SETTING_NUMBER, AT(max_body_bytes), false, 1048576, 1024,
+	3145728, "", "bytes", "body of one request or answer"},
+    {"default-deadline-ms", SETTING_NUMBER, AT(default_deadline_ms), false,
+	5000, 10, 600000, "", "ms", "deadline of a call that names none"},
+    {"max-deadline-ms", SETTING_NUMBER, AT(max_deadline_ms), false, 30000, 10,
+	600000, "", "ms", "longest deadline that a call may name"},
+    {"caller-idle-s", SETTING_NUMBER, AT(caller_idle_s), false, 30, 1, 3600, "",
+	"s", "a caller's connection that is silent is closed"},
+    {"platform-timeout-ms", SETTING_NUMBER, AT(platform_timeout_ms), false,
+	1000, 10, 60000, "", "ms", "wait for an answer of the platform"},
+    {"balancer", SETTING_NAME, AT(balancer), false, 0, 0, 0, "two-choices",
+	"name", "choice of target: two-choices or random"},
+    {"limiter", SETTING_NAME, AT(limiter), false, 0, 0, 0, "gradient", "name",
+	"limit of the local target: gradient, aimd or fixed"},
+    {"shedder", SETTING_NAME, AT(shedder), false, 0, 0, 0, "policy", "name",
+	"queue: policy (as the operators' text weighs), recovery, goodput or "
+	"fifo"},
+};
+
+#define NSETTINGS (sizeof(table) / sizeof(table[0]))
+
+struct reading {
+	struct settings *settings;
+	bool seen[NSETTINGS];
+};
+
+bool
+addr_parse(const char *text, struct addr *addr)
+{
+	char ip[INET_ADDRSTRLEN], *end;
+	const char *colon = strrchr(text, ':');
+	struct in_addr in;
+	unsigned long port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
+		return false;
+	memcpy(ip, text, colon - text);
+	ip[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (inet_pton(AF_INET, ip, &in) != 1 || end == colon + 1 ||
+	    *end != '\0' || port == 0 || port > UINT16_MAX)
+		return false;
+	addr->ip = ntohl(in.s_addr);
+	addr->port = port;
+	return true;
+}
+
+static void *
+field(struct settings *s, const struct setting *t)
+{
+	return (char *)s + t->offset;
+}
+
+struct settings *
+settings_create(void)
+{
+	struct settings *s = xcalloc(1, sizeof(*s));
+	size_t i;
+
+	for (i = 0; i < NSETTINGS; i++) {
+		if (table[i].kind == SETTING_NUMBER)
+			*(uint64_t *)field(s, &table[i]) = table[i].def;
+		else if (table[i].kind == SETTING_NAME)
+			name_copy(
+			    field(s, &table[i]), table[i].text_def, NAME_LEN);
+	}
+	return s;
+}
+
+void
+settings_destroy(struct settings *s)
+{
+	free(s);
+}
+
+static bool
+bad_addr(struct ini *ini, const char *name, const char *value)
+{
+	return ini_error(ini, ini->line,
+	    "write a numeric address and a port, as in 127.0.0.1:7000",
+	    "%s: bad address '%s'", name, value);
+}
+
+static bool
+set_peers(struct ini *ini, struct settings *s, const char *value)
+{
+	char copy[256], *rest = copy, *word;
+
+	name_copy(copy, value, sizeof(copy));
+	while ((word = strsep(&rest, " ,\t")) != NULL) {
+		if (word[0] == '\0')
+			continue;
+		if (s->npeers == SETTINGS_MAX_PEERS)
+			return ini_error(ini, ini->line, "name fewer",
+			    "more than %d peers", SETTINGS_MAX_PEERS);
+		if (!addr_parse(word, &s->peers[s->npeers++]))
+			return bad_addr(ini, "peers", word);
+	}
+	return true;
+}
+
+static bool
+set_number(
+    struct ini *ini, const struct setting *t, const char *value, uint64_t *out)
+{
+	char hint[128], *end;
+	uint64_t v = strtoull(value, &end, 10);
+
+	snprintf(hint, sizeof(hint),
+	    "give a whole number of %s from %" PRIu64 " to %" PRIu64, t->unit,
+	    t->min, t->max);
+	if (end == value || *end != '\0' || value[0] == '-' || v < t->min ||
+	    v > t->max)
+		return ini_error(
+		    ini, ini->line, hint, "%s: bad value '%s'", t->name, value);
+	*out = v;
+	return true;
+}
+
+static bool
+set_text(struct ini *ini, const struct setting *t, const char *value, char *out,
+    size_t len)
+{
+	if (value[0] == '\0' || strlen(value) >= len)
+		return ini_error(ini, ini->line, "give a shorter value",
+		    "%s: empty or too long", t->name);
+	name_copy(out, value, len);
+	return true;
+}
+
+static bool
+set(struct ini *ini, struct settings *s, const struct setting *t,
+    const char *value)
+{
+	switch (t->kind) {
+	case SETTING_ADDR:
+		return addr_parse(value, field(s, t)) ||
+		       bad_addr(ini, t->name, value);
+	case SETTING_PEERS:
+		return set_peers(ini, s, value);
+	case SETTING_NAME:
+		return set_text(ini, t, value, field(s, t), NAME_LEN);
+	case SETTING_PATH:
+		return set_text(ini, t, value, field(s, t), SETTINGS_PATH_LEN);
+	default:
+		return set_number(ini, t, value, field(s, t));
+	}
+}
+
+static bool
+on_section(struct ini *ini, const char *section)
+{
+	if (strcmp(section, "daemon") == 0)
+		return true;
+	return ini_error(ini, ini->line, "settings stand under [daemon]",
+	    "unknown section '[%s]'", section);
+}
+
+static bool
+on_value(
+    struct ini *ini, const char *section, const char *name, const char *value)
+{
+	struct reading *r = ini->state;
+	size_t i;
+
+	(void)section;
+	for (i = 0; i < NSETTINGS; i++) {
+		if (strcmp(table[i].name, name) != 0)
+			continue;
+		if (r->seen[i])
+			return ini_error(ini, ini->line,
+			    "remove one of the two", "'%s' stands twice", name);
+		r->seen[i] = true;
+		return set(ini, r->settings, &table[i], value);
+	}
+	return ini_error(ini, ini->line, "see 'cranberrywayd --settings'",
+	    "unknown setting '%s'", name);
+}
+
+static bool
+check_required(struct ini *ini, const struct reading *r)
+{
+	size_t i;
+
+	for (i = 0; i < NSETTINGS; i++) {
+		if (table[i].required && !r->seen[i])
+			return ini_error(ini, 0, table[i].meaning,
+			    "setting '%s' is missing", table[i].name);
+	}
+	return true;
+}
+
+bool
+settings_read(struct settings *s, const char *name, const char *text,
+    size_t len, char *err, size_t errlen)
+{
+	struct reading r = {.settings = s};
+	struct ini ini = {0};
+
+	ini.name = name;
+	ini.state = &r;
+	ini.section = on_section;
+	ini.value = on_value;
+	if (ini_read(&ini, text, len) && check_required(&ini, &r))
+		return true;
+	snprintf(err, errlen, "%s", ini.err);
+	return false;
+}
+
+size_t
+settings_describe(char *buf, size_t len)
+{
+	const struct setting *t;
+	size_t used = 0, i;
+
+	for (i = 0; i < NSETTINGS && used < len; i++) {
+		t = &table[i];
+		used += snprintf(
+		    buf + used, len - used, "%s (%s)", t->name, t->unit);
+		if (used < len && t->kind == SETTING_NUMBER)
+			used += snprintf(buf + used, len - used,
+			    ", %" PRIu64 " unless set, %" PRIu64 " to %" PRIu64,
+			    t->def, t->min, t->max);
+		else if (used < len && t->required)
+			used += snprintf(buf + used, len - used, ", required");
+		else if (used < len && t->text_def[0] != '\0')
+			used += snprintf(buf + used, len - used,
+			    ", '%s' unless set", t->text_def);
+		if (used < len)
+			used += snprintf(
+			    buf + used, len - used, "\n\t%s\n", t->meaning);
+	}
+	return used < len ? used : len - 1;
+}
