--- /dev/null
+++ b/daemon/decide.c
@@ -0,0 +1,161 @@
+/*
+ * The task that owns the node: it feeds messages and time to the core, and
+ * hands on what the core wants to be sent.
+ */
+#include <stdlib.h>
+#include <time.h>
+
+#include "daemon/daemon.h"
+#include "daemon/log.h"
+
+#define LINGER_US (1 * SEC_US) /* from drained to exit: last answers leave */
+
+struct decide {
+	struct daemon *daemon;
+	struct node *node;
+	struct event *timer;
+	uint64_t drained_us;
+	uint64_t version;
+};
+
+struct instant
+daemon_now(void)
+{
+	struct timespec mono, wall;
+	struct instant now;
+
+	/* BOOTTIME goes on while the host is suspended: leases must end. */
+	clock_gettime(CLOCK_BOOTTIME, &mono);
+	clock_gettime(CLOCK_REALTIME, &wall);
+	now.mono_us = mono.tv_sec * SEC_US + mono.tv_nsec / 1000;
+	now.wall_ms = wall.tv_sec * 1000 + wall.tv_nsec / 1000000;
+	return now;
+}
+
+static struct task *
+task_for(struct daemon *d, enum msg_kind kind)
+{
+	switch (kind) {
+	case MSG_ANSWER:
+		return d->front;
+	case MSG_RUN:
+	case MSG_RUN_CANCEL:
+		return d->target;
+	case MSG_ROW_READ:
+	case MSG_ROW_WRITE:
+		return d->platform;
+	case MSG_OPS_REPLY:
+		return d->operators;
+	default:
+		return d->link;
+	}
+}
+
+static void
+send_all(struct decide *s, struct msg_list *out)
+{
+	struct msg *m;
+
+	while ((m = TAILQ_FIRST(out)) != NULL) {
+		TAILQ_REMOVE(out, m, entry);
+		task_send(task_for(s->daemon, m->kind), m);
+	}
+}
+
+static void
+arm(struct decide *s)
+{
+	uint64_t wake = node_wake(s->node);
+	struct timeval tv = {wake / SEC_US, wake % SEC_US};
+
+	/* A busy node needs its next tick soon; never push it back. */
+	if (evtimer_pending(s->timer, NULL) && wake > NODE_BUSY_TICK_US)
+		return;
+	if (!evtimer_pending(s->timer, NULL) || wake <= NODE_BUSY_TICK_US)
+		evtimer_add(s->timer, &tv);
+}
+
+static void
+receive(void *state, struct msg *m)
+{
+	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+	struct decide *s = state;
+	uint64_t before = node_wake(s->node);
+
+	node_handle(s->node, m, daemon_now(), &out);
+	send_all(s, &out);
+	if (node_wake(s->node) != before)
+		arm(s);
+}
+
+static void
+check_drained(struct decide *s, struct instant now)
+{
+	if (!node_is_drained(s->node)) {
+		s->drained_us = 0;
+		return;
+	}
+	if (s->drained_us == 0)
+		s->drained_us = now.mono_us;
+	if (now.mono_us - s->drained_us < LINGER_US)
+		return;
+	log_line(LOG_NOTICE, "drained", "exit=1");
+	event_base_loopexit(s->daemon->base, NULL);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+	struct decide *s = arg;
+	struct instant now = daemon_now();
+	uint64_t version;
+
+	(void)fd;
+	(void)what;
+	node_tick(s->node, now, &out);
+	send_all(s, &out);
+	version = node_version(s->node);
+	if (version != s->version)
+		log_line(LOG_NOTICE, "config-adopted", "version=%llu was=%llu",
+		    (unsigned long long)version,
+		    (unsigned long long)s->version);
+	s->version = version;
+	s->daemon->draining = node_is_draining(s->node);
+	check_drained(s, now);
+	arm(s);
+}
+
+static void
+destroy(void *state)
+{
+	struct decide *s = state;
+
+	event_free(s->timer);
+	node_destroy(s->node);
+	free(s);
+}
+
+static const struct task_ops ops = {receive, destroy};
+
+struct task *
+decide_task_create(struct daemon *d, const struct node_setup *setup)
+{
+	struct decide *s = xcalloc(1, sizeof(*s));
+	struct timeval soon = {0, 1000};
+
+	s->daemon = d;
+	s->node = node_create(setup);
+	s->timer = evtimer_new(d->base, on_timer, s);
+	evtimer_add(s->timer, &soon);
+	return task_create(d->base, "decide", &ops, s);
+}
+
+void
+daemon_drain(struct daemon *d)
+{
+	struct msg *m = msg_create(MSG_OPS);
+
+	m->u.ops.verb = OPS_DRAIN;
+	task_send(d->decide, m);
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,261 @@
+/*
+ * cranberrywayd: reads its settings, starts the tasks and runs the loop.
+ */
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "config/text.h"
+#include "daemon/daemon.h"
+#include "daemon/log.h"
+
+#define EXIT_FATAL 128
+#define EXIT_USAGE 129
+#define MIN_SECRET 32 /* bytes */
+
+static GQuark
+daemon_error(void)
+{
+	return g_quark_from_static_string("cranberrywayd");
+}
+
+static bool
+load_settings(const char *path, struct settings *s, GError **error)
+{
+	gchar *text;
+	char err[512];
+	gsize len;
+	bool ok;
+
+	if (!g_file_get_contents(path, &text, &len, error))
+		return false;
+	ok = settings_read(s, path, text, len, err, sizeof(err));
+	g_free(text);
+	if (!ok)
+		g_set_error(error, daemon_error(), EXIT_FATAL, "%s",
+		    err + (strncmp(err, "error: ", 7) == 0 ? 7 : 0));
+	return ok;
+}
+
+/* The secret itself is not kept, only a key made from it. */
+static bool
+load_secret(struct daemon *d, GError **error)
+{
+	gchar *text;
+	gsize len;
+
+	if (!g_file_get_contents(d->settings->secret_file, &text, &len, error))
+		return false;
+	if (len < MIN_SECRET || len > SECRET_MAX) {
+		g_set_error(error, daemon_error(), EXIT_FATAL,
+		    "secret-file: %d to %d bytes are wanted\nhint: make one "
+		    "with 'head -c 48 /dev/urandom'",
+		    MIN_SECRET, SECRET_MAX);
+		sodium_memzero(text, len);
+		g_free(text);
+		return false;
+	}
+	crypto_generichash(
+	    d->secret, sizeof(d->secret), (uint8_t *)text, len, NULL, 0);
+	sodium_memzero(text, len);
+	g_free(text);
+	return true;
+}
+
+static bool
+find_tables(const struct settings *s, struct node_setup *setup, GError **error)
+{
+	static const struct balancer *const balancers[] = {
+	    &balancer_two_choices, &balancer_random};
+	static const struct limiter *const limiters[] = {
+	    &limiter_gradient, &limiter_aimd, &limiter_fixed};
+	static const struct shedder *const shedders[] = {
+	    &shedder_recovery, &shedder_goodput, &shedder_fifo};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(balancers); i++)
+		if (strcmp(s->balancer, balancers[i]->name) == 0)
+			setup->balancer = balancers[i];
+	for (i = 0; i < G_N_ELEMENTS(limiters); i++)
+		if (strcmp(s->limiter, limiters[i]->name) == 0)
+			setup->limiter = limiters[i];
+	for (i = 0; i < G_N_ELEMENTS(shedders); i++)
+		if (strcmp(s->shedder, shedders[i]->name) == 0)
+			setup->shedder = shedders[i];
+	if (setup->balancer != NULL && setup->limiter != NULL &&
+	    (setup->shedder != NULL || strcmp(s->shedder, "policy") == 0))
+		return true;
+	g_set_error(error, daemon_error(), EXIT_FATAL,
+	    "balancer, limiter or shedder: unknown name\nhint: see "
+	    "'cranberrywayd --describe'");
+	return false;
+}
+
+static void
+fill_setup(const struct settings *s, struct node_setup *setup)
+{
+	setup->self = s->link;
+	name_copy(setup->dc, s->datacentre, sizeof(setup->dc));
+	setup->incarnation = daemon_now().wall_ms;
+	randombytes_buf(&setup->seed, sizeof(setup->seed));
+	setup->parser = &text_parser;
+	setup->seeds = s->peers;
+	setup->nseeds = s->npeers;
+	setup->max_calls = s->max_calls;
+	setup->max_queue = s->max_queue;
+	setup->max_ids = s->max_ids;
+	setup->answer_bytes = s->answer_bytes;
+	setup->default_deadline_us = s->default_deadline_ms * MSEC_US;
+	setup->max_deadline_us = s->max_deadline_ms * MSEC_US;
+}
+
+static void
+on_signal(evutil_socket_t sig, short what, void *arg)
+{
+	struct daemon *d = arg;
+
+	(void)what;
+	if (d->draining) {
+		log_line(LOG_WARNING, "exit-at-once", "signal=%d", (int)sig);
+		event_base_loopbreak(d->base);
+		return;
+	}
+	log_line(LOG_NOTICE, "draining", "signal=%d", (int)sig);
+	d->draining = true;
+	daemon_drain(d);
+}
+
+static bool
+start_tasks(struct daemon *d, const struct node_setup *setup)
+{
+	d->decide = decide_task_create(d, setup);
+	d->target = target_task_create(d);
+	d->platform = platform_task_create(d);
+	d->link = link_task_create(d);
+	d->operators = operators_task_create(d);
+	d->front = front_task_create(d);
+	return d->link != NULL && d->operators != NULL && d->front != NULL;
+}
+
+static void
+stop_tasks(struct daemon *d)
+{
+	task_destroy(d->front);
+	task_destroy(d->operators);
+	task_destroy(d->link);
+	task_destroy(d->platform);
+	task_destroy(d->target);
+	task_destroy(d->decide);
+}
+
+/* Each caller's connection takes a descriptor. */
+static void
+raise_descriptors(void)
+{
+	struct rlimit lim;
+
+	if (getrlimit(RLIMIT_NOFILE, &lim) != 0)
+		return;
+	lim.rlim_cur = lim.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &lim);
+}
+
+static int
+run(struct daemon *d, const struct node_setup *setup)
+{
+	struct event *term, *intr;
+	int ret = EXIT_FATAL;
+
+	signal(SIGPIPE, SIG_IGN);
+	d->base = event_base_new();
+	term = evsignal_new(d->base, SIGTERM, on_signal, d);
+	intr = evsignal_new(d->base, SIGINT, on_signal, d);
+	evsignal_add(term, NULL);
+	evsignal_add(intr, NULL);
+	if (start_tasks(d, setup)) {
+		log_line(LOG_NOTICE, "started", "datacentre=%s port=%u",
+		    d->settings->datacentre, d->settings->callers.port);
+		event_base_dispatch(d->base);
+		ret = 0;
+	}
+	stop_tasks(d);
+	event_free(term);
+	event_free(intr);
+	event_base_free(d->base);
+	return ret;
+}
+
+static int
+complain(GError *error, int code)
+{
+	fprintf(stderr, "fatal: %s\n", error->message);
+	g_error_free(error);
+	return code;
+}
+
+static int
+describe(void)
+{
+	char page[8192];
+
+	settings_describe(page, sizeof(page));
+	fputs(page, stdout);
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	static gchar *path;
+	static gboolean check_only, want_describe, verbose;
+	static const GOptionEntry entries[] = {
+	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		"read the settings from FILE", "FILE"},
+	    {"check", 'c', 0, G_OPTION_ARG_NONE, &check_only,
+		"check the settings and exit", NULL},
+	    {"describe", 'd', 0, G_OPTION_ARG_NONE, &want_describe,
+		"print all settings with units and bounds", NULL},
+	    {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
+		"log lines of level debug too", NULL},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+	struct daemon d = {0};
+	struct node_setup setup = {0};
+	struct settings *s;
+	GOptionContext *ctx = g_option_context_new("- overload control daemon");
+	GError *error = NULL;
+	int ret;
+
+	if (sodium_init() < 0)
+		return EXIT_FATAL;
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &error))
+		return complain(error, EXIT_USAGE);
+	g_option_context_free(ctx);
+	if (want_describe)
+		return describe();
+	if (path == NULL) {
+		fputs("usage: cranberrywayd --settings FILE\n", stderr);
+		return EXIT_USAGE;
+	}
+	if (verbose)
+		log_set_level(LOG_DEBUG);
+	s = settings_create();
+	d.settings = s;
+	randombytes_buf(d.context_key, sizeof(d.context_key));
+	raise_descriptors();
+	if (!load_settings(path, s, &error) ||
+	    !find_tables(s, &setup, &error) || !load_secret(&d, &error)) {
+		settings_destroy(s);
+		return complain(error, EXIT_FATAL);
+	}
+	fill_setup(s, &setup);
+	ret = check_only ? 0 : run(&d, &setup);
+	settings_destroy(s);
+	return ret;
+}
