--- /dev/null
+++ b/cli/builtin/check.c
@@ -0,0 +1,31 @@
+#include <stdio.h>
+
+#include "cli/builtin.h"
+#include "config/text.h"
+
+int
+cmd_check(int argc, char **argv)
+{
+	struct catalog *c;
+	GError *error = NULL;
+	char err[512];
+	gchar *text;
+	gsize len;
+
+	if (argc != 2)
+		return builtin_usage("check");
+	if (!g_file_get_contents(argv[1], &text, &len, &error)) {
+		fprintf(stderr, "fatal: %s\n", error->message);
+		g_error_free(error);
+		return EXIT_FATAL;
+	}
+	c = text_parse(argv[1], text, len, err, sizeof(err));
+	g_free(text);
+	if (c == NULL) {
+		fprintf(stderr, "%s\n", err);
+		return EXIT_NO;
+	}
+	catalog_destroy(c);
+	puts("ok");
+	return 0;
+}
--- /dev/null
+++ b/cli/builtin/diff.c
@@ -0,0 +1,58 @@
+#include <stdio.h>
+
+#include "cli/builtin.h"
+#include "cli/lines.h"
+#include "cli/request.h"
+
+static bool
+read_file(const char *path, gchar **text)
+{
+	GError *error = NULL;
+
+	if (g_file_get_contents(path, text, NULL, &error))
+		return true;
+	fprintf(stderr, "fatal: %s\n", error->message);
+	g_error_free(error);
+	return false;
+}
+
+static int
+diff_with_daemon(const char *where, const char *new)
+{
+	struct answer a;
+	GError *error = NULL;
+	bool any;
+
+	if (!request_send(where, "GET", "/config", NULL, 0, &a, &error))
+		return request_complain(error);
+	any = lines_diff(a.text, new, stdout);
+	answer_release(&a);
+	return any ? EXIT_NO : 0;
+}
+
+int
+cmd_diff(int argc, char **argv)
+{
+	static gchar *where;
+	const GOptionEntry entries[] = {
+	    {"daemon", 'd', 0, G_OPTION_ARG_STRING, &where, NULL, NULL},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+	gchar *old, *new;
+	int ret = EXIT_FATAL;
+
+	if (!builtin_options(entries, "diff", &argc, &argv))
+		return EXIT_USAGE;
+	if (argc != 2 && argc != 3)
+		return builtin_usage("diff");
+	if (!read_file(argv[argc - 1], &new))
+		return EXIT_FATAL;
+	if (argc == 2) {
+		ret = diff_with_daemon(request_where(where), new);
+	} else if (read_file(argv[1], &old)) {
+		ret = lines_diff(old, new, stdout) ? EXIT_NO : 0;
+		g_free(old);
+	}
+	g_free(new);
+	return ret;
+}
--- /dev/null
+++ b/cli/builtin/drain.c
@@ -0,0 +1,18 @@
+#include "cli/builtin.h"
+#include "cli/request.h"
+
+int
+cmd_drain(int argc, char **argv)
+{
+	static gchar *where;
+	const GOptionEntry entries[] = {
+	    {"daemon", 'd', 0, G_OPTION_ARG_STRING, &where, NULL, NULL},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+
+	if (!builtin_options(entries, "drain", &argc, &argv))
+		return EXIT_USAGE;
+	if (argc != 1)
+		return builtin_usage("drain");
+	return request_print(request_where(where), "POST", "/drain");
+}
--- /dev/null
+++ b/cli/builtin/submit.c
@@ -0,0 +1,100 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli/builtin.h"
+#include "cli/lines.h"
+#include "cli/request.h"
+
+static bool
+version_in_force(const char *where, uint64_t *version, GError **error)
+{
+	struct answer a;
+
+	if (!request_send(where, "GET", "/config", NULL, 0, &a, error))
+		return false;
+	*version = a.version;
+	answer_release(&a);
+	return true;
+}
+
+static int
+report(const struct answer *a, const char *text)
+{
+	switch (a->status) {
+	case 200:
+		printf("accepted as version %" PRIu64 "\n", a->version);
+		return 0;
+	case 409:
+		fprintf(stderr,
+		    "error: version %" PRIu64 " is in force, which FILE was "
+		    "not made from\nhint: take its changes over, then submit "
+		    "with --from %" PRIu64 "\n",
+		    a->version, a->version);
+		lines_diff(a->text, text, stdout);
+		return EXIT_NO;
+	case 422:
+		fprintf(stderr, "%s\n", a->text);
+		return EXIT_NO;
+	default:
+		fprintf(stderr, "error: %s", a->text);
+		return EXIT_FATAL;
+	}
+}
+
+static int
+submit(const char *where, uint64_t from, const char *who, const char *text,
+    size_t len)
+{
+	GError *error = NULL;
+	struct answer a;
+	gchar *name = g_uri_escape_string(who, NULL, FALSE);
+	gchar *uri =
+	    g_strdup_printf("/config?from=%" PRIu64 "&who=%s", from, name);
+	int ret;
+
+	if (request_send(where, "PUT", uri, text, len, &a, &error)) {
+		ret = report(&a, text);
+		answer_release(&a);
+	} else {
+		ret = request_complain(error);
+	}
+	g_free(name);
+	g_free(uri);
+	return ret;
+}
+
+int
+cmd_submit(int argc, char **argv)
+{
+	static gchar *where, *who;
+	static gint64 from = -1;
+	const GOptionEntry entries[] = {
+	    {"daemon", 'd', 0, G_OPTION_ARG_STRING, &where, NULL, NULL},
+	    {"from", 'f', 0, G_OPTION_ARG_INT64, &from, NULL, NULL},
+	    {"who", 'w', 0, G_OPTION_ARG_STRING, &who, NULL, NULL},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+	GError *error = NULL;
+	uint64_t version;
+	gchar *text;
+	gsize len;
+	int ret;
+
+	if (!builtin_options(entries, "submit", &argc, &argv))
+		return EXIT_USAGE;
+	if (argc != 2)
+		return builtin_usage("submit");
+	if (!g_file_get_contents(argv[1], &text, &len, &error))
+		return request_complain(error);
+	version = (uint64_t)from;
+	if (from < 0 &&
+	    !version_in_force(request_where(where), &version, &error)) {
+		g_free(text);
+		return request_complain(error);
+	}
+	ret = submit(request_where(where), version,
+	    who != NULL ? who : g_get_user_name(), text, len);
+	g_free(text);
+	return ret;
+}
--- /dev/null
+++ b/cli/request.c
@@ -0,0 +1,139 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/builtin.h"
+#include "cli/request.h"
+#include "config/settings.h"
+#include "daemon/log.h"
+
+#define TIMEOUT_S 20 /* a submission may wait for a slow platform */
+
+struct exchange {
+	struct event_base *base;
+	struct answer *answer;
+	bool done;
+};
+
+static GQuark
+request_error(void)
+{
+	return g_quark_from_static_string("cranberryway");
+}
+
+static void
+on_done(struct evhttp_request *req, void *arg)
+{
+	struct exchange *x = arg;
+	struct evbuffer *body;
+	const char *version;
+
+	if (req != NULL && evhttp_request_get_response_code(req) != 0) {
+		body = evhttp_request_get_input_buffer(req);
+		version = evhttp_find_header(
+		    evhttp_request_get_input_headers(req), "Version");
+		x->answer->status = evhttp_request_get_response_code(req);
+		x->answer->len = evbuffer_get_length(body);
+		x->answer->text = g_malloc0(x->answer->len + 1);
+		evbuffer_copyout(body, x->answer->text, x->answer->len);
+		if (version != NULL)
+			x->answer->version = strtoull(version, NULL, 10);
+		x->done = true;
+	}
+	event_base_loopexit(x->base, NULL);
+}
+
+static enum evhttp_cmd_type
+command_of(const char *method)
+{
+	if (strcmp(method, "PUT") == 0)
+		return EVHTTP_REQ_PUT;
+	return strcmp(method, "POST") == 0 ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+}
+
+static void
+exchange_run(struct exchange *x, struct addr addr, const char *method,
+    const char *uri, const char *body, size_t len)
+{
+	struct evhttp_connection *conn;
+	struct evhttp_request *req;
+	char ip[ADDR_TEXT_LEN];
+
+	addr_text(addr, ip);
+	*strchr(ip, ':') = '\0';
+	conn = evhttp_connection_base_new(x->base, NULL, ip, addr.port);
+	evhttp_connection_set_timeout(conn, TIMEOUT_S);
+	req = evhttp_request_new(on_done, x);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", ip);
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "Connection", "close");
+	evbuffer_add(evhttp_request_get_output_buffer(req), body, len);
+	if (evhttp_make_request(conn, req, command_of(method), uri) == 0)
+		event_base_dispatch(x->base);
+	evhttp_connection_free(conn);
+}
+
+bool
+request_send(const char *where, const char *method, const char *uri,
+    const char *body, size_t len, struct answer *answer, GError **error)
+{
+	struct exchange x = {.answer = answer};
+	struct addr addr;
+
+	memset(answer, 0, sizeof(*answer));
+	if (where == NULL || !addr_parse(where, &addr)) {
+		g_set_error(error, request_error(), EXIT_USAGE,
+		    "no daemon to ask\nhint: say --daemon IP:PORT or set "
+		    "CRANBERRYWAY_DAEMON");
+		return false;
+	}
+	x.base = event_base_new();
+	exchange_run(&x, addr, method, uri, body, len);
+	event_base_free(x.base);
+	if (!x.done)
+		g_set_error(error, request_error(), EXIT_FATAL,
+		    "daemon '%s' does not answer\nhint: ask another one",
+		    where);
+	return x.done;
+}
+
+void
+answer_release(struct answer *a)
+{
+	g_free(a->text);
+	a->text = NULL;
+}
+
+const char *
+request_where(const char *option)
+{
+	return option != NULL ? option : g_getenv("CRANBERRYWAY_DAEMON");
+}
+
+int
+request_complain(GError *error)
+{
+	int code = error->code >= EXIT_FATAL ? error->code : EXIT_FATAL;
+
+	fprintf(stderr, "fatal: %s\n", error->message);
+	g_error_free(error);
+	return code;
+}
+
+int
+request_print(const char *where, const char *method, const char *uri)
+{
+	struct answer a;
+	GError *error = NULL;
+	int ret;
+
+	if (!request_send(where, method, uri, NULL, 0, &a, &error))
+		return request_complain(error);
+	fwrite(a.text, 1, a.len, stdout);
+	ret = a.status == 200 ? 0 : EXIT_NO;
+	answer_release(&a);
+	return ret;
+}
