shed: keep goodput in overload and recover at once

Now the limit is what the target announced, less a tenth when it fails; a call that did not run gives its token back; a high threshold comes down by a sixth a tick; "goodput" lets calls wait up to 3 s where their deadline allows.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/standin-%: $(B)/t/standin-%.o $(B)/t/standin.o $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
-$(B)/test-%: $(B)/t/test-%.o $(B)/t/replay.o $(B)/cli/lines.o $(B)/daemon/task.o $(LIB_O)
+$(B)/test-%: $(B)/t/test-%.o $(B)/t/replay.o $(B)/t/overload.o $(B)/cli/lines.o $(B)/daemon/task.o $(LIB_O)
 	$(Q)$(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lgtest -lgtest_main -lpthread
 $(B)/bench-%: $(B)/bench/bench-%.o $(B)/t/replay.o $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/config/settings.c
+++ b/config/settings.c
@@ -68,8 +68,8 @@
 	1000, 10, 60000, "", "ms", "wait for an answer of the platform"},
     {"balancer", SETTING_NAME, AT(balancer), false, 0, 0, 0, "two-choices",
 	"name", "choice of target: two-choices or random"},
-    {"limiter", SETTING_NAME, AT(limiter), false, 0, 0, 0, "gradient", "name",
-	"limit of the local target: gradient, aimd or fixed"},
+    {"limiter", SETTING_NAME, AT(limiter), false, 0, 0, 0, "slots", "name",
+	"limit of the local target: slots, gradient, aimd or fixed"},
     {"shedder", SETTING_NAME, AT(shedder), false, 0, 0, 0, "policy", "name",
 	"queue: policy (as the operators' text weighs), recovery, goodput or "
 	"fifo"},
--- a/core/control.c
+++ b/core/control.c
@@ -94,6 +94,8 @@
 		return ret;
 	n->counters.values[COUNT_CONFIG_ADOPTED]++;
 	spread(n, from, now, out);
+	if (n->target.shed != NULL)
+		shed_set_shedder(n->target.shed, serve_shedder(n));
 	entry_recheck(n, now, out);
 	return ret;
 }
--- a/core/entry.c
+++ b/core/entry.c
@@ -118,6 +118,9 @@
 {
 	struct reply reply;
 
+	/* The rate counts what runs: a call that did not is given back. */
+	if (c->paid && verdict == VERDICT_NOT_RUN)
+		quota_untake(n->quota, c->context.org, now);
 	memset(&reply, 0, sizeof(reply));
 	reply_fail(&reply, failure_make(verdict, reason));
 	if (reason == REASON_OVER_RATE || reason == REASON_SHED ||
@@ -303,6 +306,7 @@
 {
 	if (!c->keyed ||
 	    quota_take(n->quota, c->context.org, now) == QUOTA_TAKEN) {
+		c->paid = c->keyed;
 		try_next(n, c, now, out);
 		return;
 	}
@@ -660,6 +664,7 @@
 		} else if (c->state == ENTRY_TOKEN &&
 			   quota_take_again(n->quota, c->context.org, now) ==
 			       QUOTA_TAKEN) {
+			c->paid = true;
 			try_next(n, c, now, out);
 		}
 	}
--- a/core/limit.c
+++ b/core/limit.c
@@ -95,6 +95,14 @@
 	return limit_was_used(l) ? l->value + 1 : l->value;
 }
 
+static double
+adjust_slots(struct limit *l)
+{
+	if (window_failed(l))
+		return l->value * CUT;
+	return l->value + sqrt(l->value);
+}
+
 static double
 adjust_fixed(struct limit *l)
 {
@@ -103,4 +111,5 @@
 
 const struct limiter limiter_gradient = {"gradient", adjust_gradient};
 const struct limiter limiter_aimd = {"aimd", adjust_aimd};
+const struct limiter limiter_slots = {"slots", adjust_slots};
 const struct limiter limiter_fixed = {"fixed", adjust_fixed};
--- a/core/limit.h
+++ b/core/limit.h
@@ -39,6 +39,8 @@
 	unsigned int age; /* windows since the floor was set */
 };
 
+/* What the target announced, less a tenth whenever it fails or refuses. */
+extern const struct limiter limiter_slots;
 /* Follows the ratio of the shortest to the present mean time. */
 extern const struct limiter limiter_gradient;
 /* Adds one while calls are quick, and takes a tenth off when they are not. */
--- a/core/membership.c
+++ b/core/membership.c
@@ -170,18 +170,12 @@
 target_start(struct node *n, const struct announce *a)
 {
 	struct local_target *t = &n->target;
-	const struct shedder *shedder = n->setup.shedder;
 
 	memset(t, 0, sizeof(*t));
 	name_copy(t->service, a->service, sizeof(t->service));
 	t->slots = a->slots ? a->slots : 1;
 	t->present = true;
-	if (shedder == NULL)
-		shedder = n->conf.catalog != NULL &&
-				  n->conf.catalog->weighing == WEIGHING_GOODPUT
-			      ? &shedder_goodput
-			      : &shedder_recovery;
-	t->shed = shed_create(shedder, n->setup.max_queue);
+	t->shed = shed_create(serve_shedder(n), n->setup.max_queue);
 	limit_init(&t->limit, n->setup.limiter, t->slots, t->slots);
 }
 
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -43,6 +43,7 @@
 	uint64_t stamp_ms;
 	bool idempotent;
 	bool keyed; /* charged to the key's organisation */
+	bool paid; /* a token of its rate was taken */
 	struct call_context context;
 	struct balance_call balance;
 	uint64_t begun_us;
@@ -160,6 +161,8 @@
     struct node *, struct msg *, struct instant, struct msg_list *);
 void serve_handover(struct node *, struct msg *, struct instant);
 void serve_tick(struct node *, struct instant, struct msg_list *);
+/* The queue's policy, by the settings or as the operators' text weighs. */
+const struct shedder *serve_shedder(const struct node *);
 struct job *serve_find(struct node *, uint64_t seq);
 void serve_destroy(struct node *);
 
--- a/core/serve.c
+++ b/core/serve.c
@@ -49,6 +49,17 @@
 		shed_destroy(n->target.shed);
 }
 
+const struct shedder *
+serve_shedder(const struct node *n)
+{
+	if (n->setup.shedder != NULL)
+		return n->setup.shedder;
+	return n->conf.catalog != NULL &&
+		       n->conf.catalog->weighing == WEIGHING_GOODPUT
+		   ? &shedder_goodput
+		   : &shedder_recovery;
+}
+
 /* What every reply tells the entry daemon about this target. */
 static void
 add_hints(struct node *n, struct reply *r)
--- a/core/shed.c
+++ b/core/shed.c
@@ -6,7 +6,8 @@
 
 #define LEVELS 128 /* levels within a class */
 #define RAISE_LEVELS 16 /* the threshold's step up, each tick */
-#define LOWER_LEVELS 4 /* and down */
+#define LOWER_LEVELS 4 /* the least step down */
+#define LOWER_PART 6 /* or else so much of the way */
 #define CALM_PART 4 /* calm is a delay below wait_us / CALM_PART */
 
 /* The calls of one organisation that wait in one class. */
@@ -33,7 +34,7 @@
 const struct shedder shedder_recovery = {
     "recovery", true, true, true, true, 100 * MSEC_US};
 const struct shedder shedder_goodput = {
-    "goodput", true, true, false, true, 400 * MSEC_US};
+    "goodput", true, true, false, true, 3 * SEC_US};
 const struct shedder shedder_fifo = {"fifo", false, false, false, false, 0};
 
 struct shed *
@@ -64,6 +65,14 @@
 	free(s);
 }
 
+void
+shed_set_shedder(struct shed *s, const struct shedder *shedder)
+{
+	/* Queues are told apart by class or not at all: never both. */
+	if (s->count == 0 || s->shedder->by_class == shedder->by_class)
+		s->shedder = shedder;
+}
+
 static struct flow_queue *
 queue_of(struct shed *s, enum importance importance)
 {
@@ -228,6 +237,17 @@
 	return s->count;
 }
 
+/* A high threshold comes down in large steps: recovery waits for it. */
+static unsigned int
+lowering(unsigned int position)
+{
+	unsigned int step = position / LOWER_PART;
+
+	if (step < LOWER_LEVELS)
+		step = LOWER_LEVELS;
+	return step < position ? step : position;
+}
+
 /*
  * Raised while calls are refused or wait long, lowered more slowly when
  * they do not.  The most important class is never refused by threshold.
@@ -242,8 +262,7 @@
 	if (s->refused || s->worst_us > s->shedder->wait_us)
 		s->position += RAISE_LEVELS;
 	else if (s->worst_us < s->shedder->wait_us / CALM_PART)
-		s->position -=
-		    s->position < LOWER_LEVELS ? s->position : LOWER_LEVELS;
+		s->position -= lowering(s->position);
 	if (s->position > top)
 		s->position = top;
 	if (s->count == 0)
--- a/core/shed.h
+++ b/core/shed.h
@@ -54,6 +54,8 @@
 
 struct shed *shed_create(const struct shedder *, size_t max_items);
 void shed_destroy(struct shed *);
+/* Change the policy; calls that wait keep their places. */
+void shed_set_shedder(struct shed *, const struct shedder *);
 /*
  * Put a call into the queue.  False means that it is refused itself.  If
  * another has to go to make room it is taken out and left in *victim.
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -20,8 +20,9 @@
 #define HANDSHAKE_S 3 /* a link that is not open by then is closed */
 #define SEND_TIMEOUT_MS 3000 /* unacknowledged for so long: lost */
 #define MAX_OUTPUT (16u << 20) /* bytes that may wait on one link */
-#define IDLE_US (120 * SEC_US) /* an outgoing link without traffic is closed   \
-				*/
+#define IDLE_US                                                                \
+	(120 * SEC_US) /* an outgoing link without traffic is closed           \
+			*/
 #define SWEEP_S 10
 #define LISTEN_BACKLOG 256
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -73,7 +73,7 @@
 	static const struct balancer *const balancers[] = {
 	    &balancer_two_choices, &balancer_random};
 	static const struct limiter *const limiters[] = {
-	    &limiter_gradient, &limiter_aimd, &limiter_fixed};
+	    &limiter_slots, &limiter_gradient, &limiter_aimd, &limiter_fixed};
 	static const struct shedder *const shedders[] = {
 	    &shedder_recovery, &shedder_goodput, &shedder_fifo};
 	size_t i;
--- a/t/replay.c
+++ b/t/replay.c
@@ -657,6 +657,8 @@
 	struct reply reply = {0};
 	struct run *run;
 
+	if (r->hosts[host].spec.no_cancel)
+		return;
 	LIST_FOREACH (run, &r->hosts[host].runs, entry) {
 		if (run->seq != seq)
 			continue;
@@ -842,7 +844,7 @@
 	setup.seed = rng_next(&r->rng);
 	setup.balancer =
 	    h->spec.balancer ? h->spec.balancer : &balancer_two_choices;
-	setup.limiter = h->spec.limiter ? h->spec.limiter : &limiter_gradient;
+	setup.limiter = h->spec.limiter ? h->spec.limiter : &limiter_slots;
 	setup.shedder = h->spec.shedder;
 	setup.retrier = h->spec.retrier ? h->spec.retrier : &retrier_tree;
 	setup.guard = h->spec.guard ? h->spec.guard : &guard_full;
--- a/t/replay.h
+++ b/t/replay.h
@@ -39,10 +39,11 @@
 	uint32_t told_slots; /* what it announces; 0: the same */
 	uint64_t work_us; /* mean time of a run */
 	const struct balancer *balancer; /* NULL: two choices */
-	const struct limiter *limiter; /* NULL: gradient */
+	const struct limiter *limiter; /* NULL: slots */
 	const struct shedder *shedder; /* NULL: by policy */
 	const struct retrier *retrier; /* NULL: by tree */
 	const struct id_guard *guard; /* NULL: full */
+	bool no_cancel; /* the target finishes what nobody wants */
 	size_t max_queue; /* 0: 512 */
 };
 
