membership: leave without cutting a call, hand the root over

A root that stopped in order left its children without grants: 11590 of about 24000 calls refused as over-rate. Cause: the restarted daemon answered share asks before it held anything, so that its children's shares were not taken over; then 33 were still lost between two roots. Now a daemon that holds nothing does not answer, and a leaving root writes a child into the row by compare-and-set and steps down. A booking whose id was stamped just before the owner left was refused for good (1 of 12000): the owner now takes ids that it owns until its hand-over, and an id of our own that did not run is replaced at the next try.

Not mended: with platform and root both gone, calls beyond the held shares are refused (1383 of 4950 whole).

--- a/core/control.c
+++ b/core/control.c
@@ -196,6 +196,22 @@
 	offer(n, &c, n->setup.self, now, out);
 }
 
+/* Our successor stands in the row: it is the root from here on. */
+static void
+handed_over(
+    struct node *n, struct row *row, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+	struct tree_child *c;
+
+	t->handing = false;
+	step_down(n);
+	t->epoch = t->row_version = row->version;
+	TAILQ_FOREACH (c, &t->children, entry)
+		send_config(n, c->addr, c->version, now, out);
+	node_read_row(n, row->key, false, out);
+}
+
 void
 control_row(
     struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
@@ -204,6 +220,7 @@
 
 	if (row->status == ROW_UNKNOWN) {
 		n->tree.failed_us = now.mono_us;
+		n->tree.handing = false;
 		return;
 	}
 	if (strcmp(row->key, "config") == 0) {
@@ -211,6 +228,8 @@
 			config_row(n, row, now, out);
 	} else if (row->status == ROW_FOUND || row->status == ROW_ABSENT) {
 		root_row(n, row, now);
+	} else if (row->status == ROW_WRITTEN && n->tree.handing) {
+		handed_over(n, row, now, out);
 	} else {
 		/* Our claim was decided: read who is the root. */
 		node_read_row(n, row->key, false, out);
@@ -231,6 +250,8 @@
 		t->read_us = 0;
 	admitted = tree_admit(
 	    t, msg->peer, ask->version, now.mono_us, &n->rng, &redirect);
+	if (admitted)
+		tree_child(t, msg->peer)->incarnation = ask->incarnation;
 	m = msg_emit(out, MSG_CONFIG, msg->peer, msg->seq);
 	confstate_fill(&n->conf, &m->u.config, ask->version);
 	m->u.config.epoch = t->epoch;
@@ -270,6 +291,7 @@
 
 	m->u.config.version = version;
 	m->u.config.epoch = n->tree.epoch;
+	m->u.config.incarnation = n->setup.incarnation;
 }
 
 void
@@ -295,8 +317,12 @@
 {
 	struct msg *m;
 
-	/* One that is not our child any more must not be granted twice. */
-	if (tree_child(&n->tree, msg->peer) == NULL)
+	/*
+	 * One that is not our child any more must not be granted twice, and
+	 * who holds nothing itself must not seem to grant nothing.
+	 */
+	if (tree_child(&n->tree, msg->peer) == NULL ||
+	    (!n->tree.is_root && !n->tree.accepted))
 		return;
 	m = msg_emit(out, MSG_SHARE, msg->peer, msg->seq);
 	quota_grant(n->quota, msg->peer, &msg->u.share, now, &m->u.share);
@@ -382,6 +408,22 @@
 	node_write_row(n, key, n->tree.row_version, value, strlen(value), out);
 }
 
+/* A root that leaves in order names one of its children in its place. */
+static void
+hand_root_over(struct node *n, struct msg_list *out)
+{
+	struct tree_child *c = TAILQ_LAST(&n->tree.children, tree_children);
+	char key[256], value[64];
+
+	if (!n->draining || !n->tree.is_root || n->tree.handing || c == NULL)
+		return;
+	n->tree.handing = true;
+	root_key(n, key, sizeof(key));
+	snprintf(value, sizeof(value), "%" PRIu32 ":%u:%" PRIu64, c->addr.ip,
+	    c->addr.port, c->incarnation);
+	node_write_row(n, key, n->tree.epoch, value, strlen(value), out);
+}
+
 static void
 read_platform(struct node *n, struct instant now, struct msg_list *out)
 {
@@ -474,6 +516,7 @@
 	tend_parent(n, now, out);
 	if (n->tree.dead_root && n->tree.answered_us > n->tree.failed_us)
 		claim_root(n, now, out);
+	hand_root_over(n, out);
 	hold_when_cut_off(n, now);
 	tree_tick(&n->tree, now.mono_us);
 	quota_tick(n->quota, now);
--- a/core/entry.c
+++ b/core/entry.c
@@ -216,6 +216,15 @@
 	return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
 }
 
+static void
+make_id(struct node *n, struct entry_call *c, struct instant now)
+{
+	name_copy(c->id_dc, n->setup.dc, sizeof(c->id_dc));
+	c->stamp_ms = now.wall_ms;
+	id_make(c->id, sizeof(c->id), now.wall_ms, c->id_dc,
+	    n->setup.incarnation ^ addr_hash(n->setup.self), node_seq(n));
+}
+
 /* An id of the caller's, or one of our own: every such call has one. */
 static bool
 take_id(
@@ -224,11 +233,7 @@
 	const uint64_t forget_ms = (LEDGER_RETAIN_US - 60 * SEC_US) / MSEC_US;
 
 	if (c->call.id[0] == '\0') {
-		name_copy(c->id_dc, n->setup.dc, sizeof(c->id_dc));
-		c->stamp_ms = now.wall_ms;
-		id_make(c->id, sizeof(c->id), now.wall_ms, c->id_dc,
-		    n->setup.incarnation ^ addr_hash(n->setup.self),
-		    node_seq(n));
+		make_id(n, c, now);
 		return true;
 	}
 	*f = failure_make(VERDICT_NOT_RUN, REASON_BAD_REQUEST);
@@ -485,6 +490,9 @@
 		fail(n, c, f.verdict, f.reason, now, out);
 		return;
 	}
+	/* An id of our own that did not run can be replaced by a new one. */
+	if (!c->idempotent && c->call.id[0] == '\0')
+		make_id(n, c, now);
 	c->allowance--;
 	c->retries++;
 	n->counters.values[COUNT_RETRIES]++;
--- a/core/membership.c
+++ b/core/membership.c
@@ -13,6 +13,7 @@
 
 #define ROWS_AGAIN_US (2 * SEC_US) /* between reads of a group's rows */
 #define ROW_AGAIN_US (2 * SEC_US) /* between writes of our own row */
+#define LATE_IDS_MS 400 /* owned ids may still be under way so long */
 #define UNUSED_US (120 * SEC_US) /* a group nobody calls is dropped */
 #define ANY_VERSION UINT64_MAX
 
@@ -576,7 +577,7 @@
     struct node *n, struct group *g, struct instant now, struct msg_list *out)
 {
 	if (!n->target.leaving || n->target.left || n->njobs > 0 ||
-	    now.wall_ms < n->target.leave_ms)
+	    now.wall_ms < n->target.leave_ms + LATE_IDS_MS)
 		return;
 	hand_over(n, g, out);
 	n->target.left = true;
--- a/core/msg.h
+++ b/core/msg.h
@@ -187,6 +187,7 @@
 	uint64_t suffix;
 	uint64_t epoch; /* of the tree's root as the sender knows it */
 	uint64_t confirmed_ms; /* age of the last word from the platform */
+	uint64_t incarnation; /* of the asking daemon */
 	struct addr redirect; /* ask there instead; zero: stay here */
 	bool accepted; /* the sender is the asker's parent */
 	struct buffer text; /* empty when the asker has the version */
--- a/core/quota.c
+++ b/core/quota.c
@@ -232,6 +232,18 @@
 	bucket_hold(b);
 }
 
+/* Children that were granted nothing may hold an earlier root's share. */
+static void
+forget_empty_charges(struct bucket *b)
+{
+	struct charge *c;
+
+	LIST_FOREACH (c, &b->charges, entry) {
+		if (c->rate == 0 && c->burst == 0)
+			c->number = 0;
+	}
+}
+
 void
 quota_set_root(struct quota *q, bool root, uint64_t settle_us)
 {
@@ -246,6 +258,7 @@
 		b->filled_us = 0;
 		b->settling = root;
 		if (root) {
+			forget_empty_charges(b);
 			root_hold(b);
 			continue;
 		}
--- a/core/serve.c
+++ b/core/serve.c
@@ -236,9 +236,10 @@
 	*failure = failure_make(VERDICT_NOT_RUN, REASON_NO_TARGET);
 	if (!n->target.present || strcmp(n->target.service, f->service) != 0)
 		return false;
+	/* An id that it owns by its stamp is taken until the hand-over. */
 	failure->reason = REASON_LEAVING;
-	if (n->target.left ||
-	    (n->target.leaving && now.wall_ms >= n->target.leave_ms))
+	if (n->target.left || (f->idempotent && n->target.leaving &&
+				  now.wall_ms >= n->target.leave_ms))
 		return false;
 	failure->reason = REASON_DEADLINE;
 	if (f->context.deadline_ms == 0)
--- a/core/tree.h
+++ b/core/tree.h
@@ -31,6 +31,7 @@
 	struct addr addr;
 	uint64_t heard_us;
 	uint64_t version; /* of the configuration that it has */
+	uint64_t incarnation;
 };
 
 TAILQ_HEAD(tree_children, tree_child);
@@ -53,6 +54,7 @@
 	uint64_t answered_us; /* the platform last answered */
 	uint64_t failed_us; /* the platform last failed to answer */
 	uint64_t claimed_us; /* we last tried to become the root */
+	bool handing; /* we write a successor into the row */
 	bool dead_root; /* the root did not answer */
 };
 
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -178,6 +178,7 @@
 	p->confirmed_ms = c->confirmed_ms;
 	p->redirect_ip = c->redirect.ip;
 	p->redirect_port = c->redirect.port;
+	p->incarnation = c->incarnation;
 	p->accepted = c->accepted;
 	p->text = borrow_buffer(&c->text);
 }
@@ -469,6 +470,7 @@
 	c->confirmed_ms = p->confirmed_ms;
 	c->redirect.ip = p->redirect_ip;
 	c->redirect.port = p->redirect_port;
+	c->incarnation = p->incarnation;
 	c->accepted = p->accepted;
 	take_bytes(&c->text, &p->text);
 	return true;
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -1815,7 +1815,7 @@
   (ProtobufCMessageInit) link__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__config__field_descriptors[11] =
+static const ProtobufCFieldDescriptor link__config__field_descriptors[12] =
 {
   {
     "version",
@@ -1949,6 +1949,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Config, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__config__field_indices_by_name[] = {
   9,   /* field[9] = accepted */
@@ -1956,6 +1968,7 @@
   6,   /* field[6] = confirmed_ms */
   1,   /* field[1] = digest */
   5,   /* field[5] = epoch */
+  11,   /* field[11] = incarnation */
   3,   /* field[3] = prefix */
   7,   /* field[7] = redirect_ip */
   8,   /* field[8] = redirect_port */
@@ -1966,7 +1979,7 @@
 static const ProtobufCIntRange link__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor link__config__descriptor =
 {
@@ -1976,7 +1989,7 @@
   "Link__Config",
   "link",
   sizeof(Link__Config),
-  11,
+  12,
   link__config__field_descriptors,
   link__config__field_indices_by_name,
   1,  link__config__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -221,10 +221,11 @@
   uint32_t redirect_port;
   protobuf_c_boolean accepted;
   ProtobufCBinaryData text;
+  uint64_t incarnation;
 };
 #define LINK__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__config__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Link__ShareItem
