t: test each module, and a call tree 23 deep

One program a module. Two of them failed at first. The allowance of retries was used up in single steps at the top of a call tree, where a retry repeats everything below: with the deepest of 23 services breaking off, none was spent where the failure was. All of it now goes down but for one that the first daemon keeps. And "diff" printed the empty string behind the last newline as a line.

With three retries allowed, the tree of 23 calls makes at most 26 runs; the usual three retries a hop, which take a 502 for a failure, make more, so the test fails without the mechanism.

--- a/cli/lines.c
+++ b/cli/lines.c
@@ -58,18 +58,32 @@
 	return any;
 }
 
+/* What follows the last newline is a line only if it is not empty. */
+static gchar **
+split(const char *text)
+{
+	gchar **lines = g_strsplit(text, "\n", -1);
+	guint n = g_strv_length(lines);
+
+	if (n > 0 && lines[n - 1][0] == '\0') {
+		g_free(lines[n - 1]);
+		lines[n - 1] = NULL;
+	}
+	return lines;
+}
+
 bool
-lines_diff(const char *old, const char *new, FILE *out)
+lines_diff(const char *before, const char *after, FILE *out)
 {
 	struct texts t = {0};
 	bool any;
 
-	t.a = g_strsplit(old, "\n", -1);
-	t.b = g_strsplit(new, "\n", -1);
+	t.a = split(before);
+	t.b = split(after);
 	t.na = g_strv_length(t.a);
 	t.nb = g_strv_length(t.b);
 	if ((t.na + 1) * (t.nb + 1) > MAX_CELLS) {
-		any = strcmp(old, new) != 0;
+		any = strcmp(before, after) != 0;
 		if (any)
 			fputs("too long to compare by line\n", out);
 	} else {
--- a/cli/lines.h
+++ b/cli/lines.h
@@ -1,7 +1,7 @@
 /*
  * lines - the difference between two texts, line by line
  *
- *	if (lines_diff(old, new, stdout)) puts("they differ");
+ *	if (lines_diff(before, after, stdout)) puts("they differ");
  */
 #ifndef CLI_LINES_H
 #define CLI_LINES_H
@@ -9,7 +9,8 @@
 #include <stdbool.h>
 #include <stdio.h>
 
-/* Print "-old" and "+new" lines; returns whether there were any. */
-bool lines_diff(const char *old, const char *new, FILE *);
+/* Print "-line" for what went and "+line" for what came; returns whether there
+ * were any. */
+bool lines_diff(const char *before, const char *after, FILE *);
 
 #endif
--- a/core/entry.c
+++ b/core/entry.c
@@ -401,7 +401,8 @@
 	f->config_version = n->conf.version;
 	f->context = c->context;
 	f->context.deadline_ms = (c->deadline_us - now.mono_us) / MSEC_US;
-	f->context.allowance = n->setup.retrier->share(c->allowance);
+	f->context.allowance =
+	    n->setup.retrier->share(c->job != 0, c->allowance);
 	c->allowance -= f->context.allowance;
 	request_copy(&f->request, &c->call.request);
 	wait_for(c, ENTRY_SENT, UINT64_MAX);
@@ -534,11 +535,15 @@
 	learn_from_reply(n, c, r, now);
 	c->allowance += r->allowance;
 	c->tries += r->tries;
-	if (r->failure.reason == REASON_NONE) {
+	if (r->failure.reason == REASON_NONE &&
+	    (!n->setup.retrier->is_failure(r->status) || c->allowance == 0)) {
 		clear_seq(n, c);
 		answer(n, c, r, now, out);
 		return;
 	}
+	if (r->failure.reason == REASON_NONE)
+		r->failure =
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED);
 	try_failed(n, c, r->failure, now, out);
 }
 
--- a/core/retry.c
+++ b/core/retry.c
@@ -40,11 +40,28 @@
 	return lent ? allowance : configured;
 }
 
-/* One is kept back, so that a lost answer does not end all retries. */
+/*
+ * All goes down to where a failure costs least to try again, but for one
+ * that the first daemon keeps, should the answer of the whole tree be lost.
+ */
 static uint32_t
-tree_share(uint32_t allowance)
+tree_share(bool lent, uint32_t allowance)
 {
-	return allowance > 0 ? allowance - 1 : 0;
+	return lent || allowance == 0 ? allowance : allowance - 1;
+}
+
+/* What a target answers whole is the answer, whatever its status. */
+static bool
+never_failure(int status)
+{
+	(void)status;
+	return false;
+}
+
+static bool
+gateway_failure(int status)
+{
+	return status >= 502 && status <= 504;
 }
 
 static uint32_t
@@ -56,8 +73,9 @@
 }
 
 static uint32_t
-hop_share(uint32_t allowance)
+hop_share(bool lent, uint32_t allowance)
 {
+	(void)lent;
 	(void)allowance;
 	return 0;
 }
@@ -79,8 +97,8 @@
 }
 
 const struct retrier retrier_tree = {
-    "tree", tree_begin, tree_share, retry_budget_take};
+    "tree", tree_begin, tree_share, never_failure, retry_budget_take};
 const struct retrier retrier_per_hop = {
-    "per-hop", hop_begin, hop_share, hop_take};
+    "per-hop", hop_begin, hop_share, gateway_failure, hop_take};
 const struct retrier retrier_none = {
-    "none", none_begin, hop_share, retry_budget_take};
+    "none", none_begin, hop_share, never_failure, retry_budget_take};
--- a/core/retry.h
+++ b/core/retry.h
@@ -37,7 +37,9 @@
 	/* At the start of a call: what was lent, what the text allows. */
 	uint32_t (*begin)(bool lent, uint32_t allowance, uint32_t configured);
 	/* The part of an allowance that goes along with a try. */
-	uint32_t (*share)(uint32_t allowance);
+	uint32_t (*share)(bool lent, uint32_t allowance);
+	/* Whether a whole answer of that status counts as a failure. */
+	bool (*is_failure)(int status);
 	/* Whether a retry may be spent. */
 	bool (*take)(struct retry_budget *);
 };
--- /dev/null
+++ b/t/test-catalog.cc
@@ -0,0 +1,42 @@
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "core/catalog.h"
+}
+
+TEST(Catalog, LongestPrefixOfWholeSegments)
+{
+	struct catalog *c = catalog_create();
+	struct route *root = catalog_add_route(c, "/");
+	struct route *a = catalog_add_route(c, "/orders");
+	struct route *b = catalog_add_route(c, "/orders/late");
+
+	EXPECT_EQ(catalog_route(c, "/orders"), a);
+	EXPECT_EQ(catalog_route(c, "/orders/7"), a);
+	EXPECT_EQ(catalog_route(c, "/orders/late/9?x=/orders"), b);
+	EXPECT_EQ(catalog_route(c, "/ordersx"), root);
+	EXPECT_EQ(catalog_route(c, "/"), root);
+	EXPECT_EQ(catalog_add_route(c, "/orders"), nullptr);
+	catalog_destroy(c);
+}
+
+TEST(Catalog, KeysAndParts)
+{
+	struct catalog *c = catalog_create();
+	struct organisation *o = catalog_add_organisation(c, "brno");
+	uint8_t hash[KEY_HASH_LEN] = {1}, other[KEY_HASH_LEN] = {2};
+
+	ASSERT_NE(catalog_add_key(c, o, hash), nullptr);
+	EXPECT_EQ(catalog_add_key(c, o, hash), nullptr);
+	EXPECT_EQ(catalog_key_owner(c, hash), o);
+	EXPECT_EQ(catalog_key_owner(c, other), nullptr);
+	c->ndcs = 2;
+	name_copy(c->dcs[0].name, "a", NAME_LEN);
+	name_copy(c->dcs[1].name, "b", NAME_LEN);
+	c->dcs[0].weight = 1;
+	c->dcs[1].weight = 3;
+	EXPECT_DOUBLE_EQ(catalog_dc_part(c, "b"), 0.75);
+	EXPECT_DOUBLE_EQ(catalog_dc_part(c, "elsewhere"), 0);
+	catalog_destroy(c);
+}
--- /dev/null
+++ b/t/test-confstate.cc
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "config/text.h"
+#include "core/confstate.h"
+}
+
+namespace {
+
+const struct instant NOW = {100 * SEC_US, 100000};
+
+struct State {
+	struct confstate cs;
+
+	State()
+	{
+		confstate_init(&cs, &text_parser);
+	}
+	~State()
+	{
+		confstate_release(&cs);
+	}
+	enum conf_verdict
+	offer(uint64_t version, const std::string &text)
+	{
+		struct config c = {};
+		enum conf_verdict v;
+
+		c.version = version;
+		c.digest = confstate_digest(text.data(), text.size());
+		buffer_set(&c.text, text.data(), text.size());
+		v = confstate_offer(&cs, &c, NOW);
+		buffer_release(&c.text);
+		return v;
+	}
+};
+
+std::string
+text(int rate)
+{
+	return "[datacentre a]\n[organisation o]\nrate = " +
+	       std::to_string(rate) + "\nburst = 5\n[service s]\n";
+}
+
+} // namespace
+
+TEST(Confstate, OnlyGoesUp)
+{
+	State s;
+
+	EXPECT_EQ(s.offer(2, text(1)), CONF_ADOPTED);
+	EXPECT_EQ(s.offer(1, text(2)), CONF_OLD);
+	EXPECT_EQ(s.offer(2, text(2)), CONF_SAME);
+	EXPECT_EQ(s.offer(3, "[nonsense]\n"), CONF_REFUSED);
+	EXPECT_EQ(s.cs.version, 2u);
+	EXPECT_EQ(s.offer(4, text(3)), CONF_ADOPTED);
+}
+
+TEST(Confstate, ChangesAreShortAndChecked)
+{
+	State a, b;
+	struct config c = {};
+
+	a.offer(1, text(100));
+	b.offer(1, text(100));
+	a.offer(2, text(250));
+	confstate_fill(&a.cs, &c, 1);
+	EXPECT_EQ(c.base, 1u);
+	EXPECT_LE(c.text.len, 3u);
+	EXPECT_EQ(confstate_offer(&b.cs, &c, NOW), CONF_ADOPTED);
+	EXPECT_STREQ(b.cs.text.data, text(250).c_str());
+	buffer_release(&c.text);
+
+	State other;
+
+	other.offer(1, text(777));
+	c = {};
+	confstate_fill(&a.cs, &c, 1);
+	EXPECT_EQ(confstate_offer(&other.cs, &c, NOW), CONF_NEED_WHOLE)
+	    << "another base text gives another digest";
+	buffer_release(&c.text);
+}
--- /dev/null
+++ b/t/test-frame.cc
@@ -0,0 +1,170 @@
+/*
+ * Frames: every kind reads back, and nothing malformed is believed.
+ */
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/hash.h"
+#include "wire/frame.h"
+}
+
+namespace {
+
+std::vector<uint8_t>
+encode(struct msg *m)
+{
+	struct buffer b = {nullptr, 0};
+	std::vector<uint8_t> v;
+
+	frame_encode(m, &b);
+	v.assign(b.data, b.data + b.len);
+	buffer_release(&b);
+	return v;
+}
+
+struct msg *
+decode(const std::vector<uint8_t> &v, enum frame_status *status = nullptr)
+{
+	struct msg *m = nullptr;
+	size_t used = 0;
+	enum frame_status s = frame_decode(v.data(), v.size(), &m, &used);
+
+	if (status != nullptr)
+		*status = s;
+	if (s == FRAME_OK) {
+		EXPECT_EQ(used, v.size());
+	}
+	return m;
+}
+
+const enum msg_kind KINDS[] = {MSG_FORWARD, MSG_REPLY, MSG_CANCEL, MSG_ASK_FATE,
+    MSG_FATE, MSG_MEMBERS_ASK, MSG_MEMBERS, MSG_HANDOVER, MSG_CONFIG_ASK,
+    MSG_CONFIG, MSG_SHARE_ASK, MSG_SHARE};
+
+struct msg *
+sample(enum msg_kind kind)
+{
+	struct msg *m = msg_create(kind);
+
+	m->seq = 7;
+	switch (kind) {
+	case MSG_FORWARD:
+		name_copy(m->u.forward.service, "orders", NAME_LEN);
+		name_copy(m->u.forward.id, "1-a-b", ID_LEN);
+		name_copy(m->u.forward.request.path, "/x", PATH_LEN);
+		buffer_set(&m->u.forward.request.body, "a\0b", 3);
+		m->u.forward.context.tree = 99;
+		m->u.forward.context.importance = IMPORTANCE_HIGH;
+		break;
+	case MSG_REPLY:
+		m->u.reply.status = 200;
+		m->u.reply.failure =
+		    failure_make(VERDICT_RAN, REASON_ANSWER_GONE);
+		buffer_set(&m->u.reply.body, "whole", 5);
+		break;
+	case MSG_MEMBERS:
+		m->u.members.count = 2;
+		m->u.members.records = static_cast<struct member_record *>(
+		    xcalloc(2, sizeof(struct member_record)));
+		m->u.members.records[1].addr = {5, 6};
+		break;
+	case MSG_CONFIG:
+		m->u.config.redirect = {1, 2};
+		m->u.config.incarnation = 3;
+		buffer_set(&m->u.config.text, "text", 4);
+		break;
+	case MSG_SHARE:
+	case MSG_SHARE_ASK:
+		m->u.share.count = 1;
+		m->u.share.items[0].rate = 1.5;
+		name_copy(m->u.share.items[0].org, "o", NAME_LEN);
+		break;
+	default:
+		break;
+	}
+	return m;
+}
+
+} // namespace
+
+TEST(Frame, EveryKindReadsBack)
+{
+	for (enum msg_kind kind : KINDS) {
+		struct msg *m = sample(kind), *got;
+		std::vector<uint8_t> v = encode(m);
+
+		got = decode(v);
+		ASSERT_NE(got, nullptr) << msg_kind_name(kind);
+		EXPECT_EQ(got->kind, kind);
+		EXPECT_EQ(got->seq, 7u);
+		EXPECT_EQ(encode(got), v);
+		msg_destroy(m);
+		msg_destroy(got);
+	}
+}
+
+TEST(Frame, ShortTooLongAndTooLongNames)
+{
+	struct msg *m = sample(MSG_FORWARD);
+	std::vector<uint8_t> v = encode(m);
+	std::vector<uint8_t> part(v.begin(), v.end() - 1);
+	enum frame_status status;
+
+	EXPECT_EQ(decode(part, &status), nullptr);
+	EXPECT_EQ(status, FRAME_SHORT);
+	EXPECT_EQ(decode({255, 255, 255, 255}, &status), nullptr);
+	EXPECT_EQ(status, FRAME_TOO_LONG);
+	EXPECT_EQ(decode({0, 0, 0, 1, 255}, &status), nullptr);
+	EXPECT_EQ(status, FRAME_MALFORMED);
+	EXPECT_EQ(decode({0, 0, 0, 0}, &status), nullptr);
+	EXPECT_EQ(status, FRAME_MALFORMED);
+	msg_destroy(m);
+}
+
+TEST(Frame, SeededDamageIsNeverBelievedOutOfRange)
+{
+	uint64_t rng = 42;
+	int round, i;
+
+	for (round = 0; round < 20000; round++) {
+		struct msg *m = sample(KINDS[rng_below(&rng, 12)]), *got;
+		std::vector<uint8_t> v = encode(m);
+		enum frame_status status;
+		int hits = 1 + static_cast<int>(rng_below(&rng, 6));
+
+		msg_destroy(m);
+		for (i = 0; i < hits; i++)
+			v[FRAME_HEAD + rng_below(&rng, v.size() - FRAME_HEAD)] =
+			    static_cast<uint8_t>(rng_next(&rng));
+		got = decode(v, &status);
+		if (got == nullptr)
+			continue;
+		if (got->kind == MSG_REPLY) {
+			EXPECT_LT(got->u.reply.failure.reason, REASON_COUNT);
+		} else if (got->kind == MSG_SHARE) {
+			EXPECT_GE(got->u.share.items[0].rate, 0);
+		}
+		msg_destroy(got);
+	}
+}
+
+TEST(Frame, Handshake)
+{
+	struct handshake h = {}, got;
+	struct buffer b = {nullptr, 0};
+	size_t used;
+
+	h.is_hello = true;
+	h.addr = {1, 2};
+	h.nonce[3] = 9;
+	frame_encode_handshake(&h, &b);
+	ASSERT_EQ(frame_decode_handshake(
+		      reinterpret_cast<uint8_t *>(b.data), b.len, &got, &used),
+	    FRAME_OK);
+	EXPECT_TRUE(got.is_hello);
+	EXPECT_EQ(got.nonce[3], 9);
+	EXPECT_TRUE(addr_equal(got.addr, h.addr));
+	buffer_release(&b);
+}
--- /dev/null
+++ b/t/test-ledger.cc
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "core/ledger.h"
+}
+
+namespace {
+
+const struct addr ENTRY = {1, 1};
+struct instant
+at(uint64_t us)
+{
+	return {us, us / MSEC_US};
+}
+
+struct Book {
+	struct ledger *l;
+	struct ledger_record *rec = nullptr;
+
+	explicit Book(size_t max = 10, size_t bytes = 100)
+	    : l(ledger_create(max, bytes))
+	{
+	}
+	~Book()
+	{
+		ledger_destroy(l);
+	}
+	enum ledger_verdict
+	begin(const char *id, uint64_t seq, uint64_t us = 1)
+	{
+		return ledger_begin(l, "o", id, ENTRY, seq, at(us), &rec);
+	}
+	void
+	finish(const std::string &body)
+	{
+		struct reply r = {};
+
+		r.status = 200;
+		buffer_set(&r.body, body.data(), body.size());
+		ledger_finish(l, rec, &r);
+		reply_release(&r);
+	}
+};
+
+} // namespace
+
+TEST(Ledger, SecondTryMeetsTheFirst)
+{
+	Book b;
+
+	EXPECT_EQ(b.begin("x", 1), LEDGER_NEW);
+	EXPECT_EQ(b.begin("x", 2), LEDGER_RUNNING);
+	b.finish("answer");
+	EXPECT_EQ(b.begin("x", 3), LEDGER_RAN);
+	EXPECT_STREQ(b.rec->reply.body.data, "answer");
+	EXPECT_EQ(ledger_find(b.l, "other", "x"), nullptr);
+}
+
+TEST(Ledger, TombstoneStopsOnlyTheTryAskedAbout)
+{
+	Book b;
+
+	EXPECT_EQ(
+	    ledger_ask(b.l, "o", "x", ENTRY, 5, at(1), &b.rec), FATE_TOMBSTONE);
+	EXPECT_EQ(b.begin("x", 5), LEDGER_REFUSED);
+	EXPECT_EQ(b.begin("x", 6), LEDGER_NEW);
+	EXPECT_EQ(
+	    ledger_ask(b.l, "o", "x", ENTRY, 5, at(1), &b.rec), FATE_RUNNING);
+	b.finish("y");
+	EXPECT_EQ(ledger_ask(b.l, "o", "x", ENTRY, 5, at(1), &b.rec), FATE_RAN);
+}
+
+TEST(Ledger, FullRefusesAndNeverForgetsEarly)
+{
+	Book b(2);
+
+	EXPECT_EQ(b.begin("a", 1, 1), LEDGER_NEW);
+	b.finish("1");
+	EXPECT_EQ(b.begin("b", 2, 2), LEDGER_NEW);
+	b.finish("2");
+	EXPECT_EQ(b.begin("c", 3, 3), LEDGER_FULL);
+	ledger_tick(b.l, at(LEDGER_RETAIN_US));
+	EXPECT_EQ(ledger_count(b.l), 2u);
+	ledger_tick(b.l, at(LEDGER_RETAIN_US + 2));
+	EXPECT_EQ(ledger_count(b.l), 1u);
+	EXPECT_EQ(b.begin("c", 3, LEDGER_RETAIN_US), LEDGER_NEW);
+}
+
+TEST(Ledger, OldestAnswersGoFirstRecordsStay)
+{
+	Book b(10, 25);
+
+	b.begin("a", 1);
+	b.finish("0123456789");
+	b.begin("b", 2);
+	b.finish("0123456789");
+	b.begin("c", 3);
+	b.finish("0123456789");
+	EXPECT_EQ(b.begin("a", 4), LEDGER_ANSWER_GONE);
+	EXPECT_EQ(b.begin("c", 5), LEDGER_RAN);
+}
+
+TEST(Ledger, DoubtStays)
+{
+	Book b;
+
+	b.begin("a", 1);
+	ledger_doubt(b.rec);
+	EXPECT_EQ(b.begin("a", 2), LEDGER_DOUBT);
+	EXPECT_EQ(
+	    ledger_ask(b.l, "o", "a", ENTRY, 1, at(1), &b.rec), FATE_DOUBT);
+}
+
+TEST(Ledger, Ids)
+{
+	char id[ID_LEN], dc[NAME_LEN];
+	uint64_t stamp;
+
+	id_make(id, sizeof(id), 1234567, "plzen", 1, 2);
+	ASSERT_TRUE(id_parse(id, &stamp, dc, sizeof(dc)));
+	EXPECT_EQ(stamp, 1234567u);
+	EXPECT_STREQ(dc, "plzen");
+	for (const char *bad : {"", "x", "12", "12-", "12-a", "12-a-", "a-b-c",
+		 "12--x", "9999999999999999-a-b", "12-a-b c", "-1-a-b"})
+		EXPECT_FALSE(id_parse(bad, &stamp, dc, sizeof(dc))) << bad;
+}
--- /dev/null
+++ b/t/test-retry.cc
@@ -0,0 +1,125 @@
+/*
+ * Retries: the budget by itself, and a call tree 23 services deep whose
+ * deepest service always breaks off.
+ */
+#include <gtest/gtest.h>
+#include <string>
+
+#include "t/text.h"
+
+extern "C" {
+#include "core/retry.h"
+}
+
+namespace {
+
+constexpr int DEPTH = 23;
+
+struct Seen {
+	int count = 0;
+	uint32_t tries = 0;
+};
+
+void
+on_done(struct replay *, void *arg, const struct reply *reply)
+{
+	Seen *s = static_cast<Seen *>(arg);
+
+	s->count++;
+	s->tries = reply->tries;
+}
+
+uint64_t
+runs_in_tree(const struct retrier *retrier, uint32_t *tries)
+{
+	struct replay *r = replay_create(4);
+	std::string text = "[policy]\nretries = 3\n[datacentre a]\n", below;
+	struct replay_spec spec = {};
+	struct replay_call c = {};
+	std::string names[DEPTH], paths[DEPTH];
+	Seen s;
+	uint64_t runs;
+	int i;
+
+	for (i = 0; i < DEPTH; i++) {
+		names[i] = "s" + std::to_string(i);
+		paths[i] = "/" + names[i];
+		text += "[service " + names[i] + "]\n";
+		if (i + 1 < DEPTH)
+			text += "depends = s" + std::to_string(i + 1) + "\n";
+		text += "[route " + paths[i] + "]\nservice = " + names[i] +
+			"\nidempotent = yes\nopen = yes\n";
+	}
+	replay_config(r, text.c_str());
+	spec.dc = "a";
+	spec.slots = 100;
+	spec.work_us = 1000;
+	spec.retrier = retrier;
+	for (i = 0; i < DEPTH; i++) {
+		spec.service = names[i].c_str();
+		spec.below = i + 1 < DEPTH ? paths[i + 1].c_str() : nullptr;
+		replay_host(r, &spec);
+		/* Two of each, so that there is somewhere else to try. */
+		replay_host(r, &spec);
+	}
+	replay_run(r, 4 * SEC_US);
+	replay_truncate(r, 2 * (DEPTH - 1), 100000);
+	replay_truncate(r, 2 * (DEPTH - 1) + 1, 100000);
+	c.method = "GET";
+	c.path = "/s0";
+	c.deadline_ms = 20000;
+	c.done = on_done;
+	c.arg = &s;
+	replay_send(r, &c);
+	replay_run(r, 40 * SEC_US);
+	EXPECT_EQ(s.count, 1);
+	*tries = s.tries;
+	runs = replay_runs(r);
+	replay_destroy(r);
+	return runs;
+}
+
+} // namespace
+
+TEST(Retry, TreeStaysWithinCallsPlusAllowance)
+{
+	uint32_t tries;
+	uint64_t runs = runs_in_tree(&retrier_tree, &tries);
+
+	EXPECT_LE(runs, (uint64_t)DEPTH + 3);
+	EXPECT_GT(runs, (uint64_t)DEPTH) << "some retry was made";
+	EXPECT_LE(tries, (uint32_t)DEPTH + 3);
+}
+
+TEST(Retry, PerHopExceedsIt)
+{
+	uint32_t tries;
+
+	EXPECT_GT(runs_in_tree(&retrier_per_hop, &tries), (uint64_t)DEPTH + 3);
+}
+
+TEST(Retry, BudgetIsAPartOfFirstTries)
+{
+	struct retry_budget b;
+	int i, taken = 0;
+
+	retry_budget_init(&b);
+	while (retry_budget_take(&b))
+		taken++;
+	EXPECT_EQ(taken, (int)RETRY_BURST);
+	for (i = 0; i < 100; i++) {
+		retry_budget_note(&b);
+		taken += retry_budget_take(&b);
+	}
+	EXPECT_LE(taken, (int)RETRY_BURST + 10);
+}
+
+TEST(Retry, BackoffGrowsToItsBound)
+{
+	uint64_t rng = 1;
+	unsigned int i;
+
+	for (i = 0; i < 40; i++)
+		EXPECT_LE(retry_backoff_us(i, &rng), RETRY_MAX_US);
+	EXPECT_LE(retry_backoff_us(0, &rng), RETRY_BASE_US);
+}
--- /dev/null
+++ b/t/test-task.cc
@@ -0,0 +1,61 @@
+#include <gtest/gtest.h>
+#include <vector>
+
+extern "C" {
+#include "daemon/task.h"
+}
+
+namespace {
+
+struct State {
+	std::vector<uint64_t> seen;
+	struct task *self = nullptr;
+	bool destroyed = false;
+};
+
+void
+receive(void *arg, struct msg *m)
+{
+	State *s = static_cast<State *>(arg);
+
+	s->seen.push_back(m->seq);
+	if (m->seq == 1) {
+		struct msg *next = msg_create(MSG_CANCEL);
+
+		next->seq = 3;
+		task_send(s->self, next);
+	}
+	msg_destroy(m);
+}
+
+void
+destroy(void *arg)
+{
+	static_cast<State *>(arg)->destroyed = true;
+}
+
+const struct task_ops OPS = {receive, destroy};
+
+} // namespace
+
+TEST(Task, MessagesArriveInOrderFromTheLoop)
+{
+	struct event_base *base = event_base_new();
+	struct msg *m;
+	State s;
+
+	s.self = task_create(base, "test", &OPS, &s);
+	for (uint64_t i = 1; i <= 2; i++) {
+		m = msg_create(MSG_CANCEL);
+		m->seq = i;
+		task_send(s.self, m);
+	}
+	EXPECT_TRUE(s.seen.empty()) << "not before the loop runs";
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	EXPECT_EQ(s.seen, (std::vector<uint64_t>{1, 2, 3}));
+	task_send(s.self, msg_create(MSG_CANCEL));
+	task_destroy(s.self);
+	EXPECT_TRUE(s.destroyed);
+	event_base_free(base);
+}
--- /dev/null
+++ b/t/test-tree.cc
@@ -0,0 +1,26 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "core/tree.h"
+}
+
+TEST(Tree, FullParentSendsOnToAChild)
+{
+	struct addr redirect = {0, 0};
+	struct tree t;
+	uint64_t rng = 1;
+	uint16_t i;
+
+	tree_init(&t);
+	for (i = 1; i <= TREE_CHILDREN; i++)
+		EXPECT_TRUE(tree_admit(&t, {1, i}, 1, 0, &rng, &redirect));
+	EXPECT_FALSE(tree_admit(&t, {2, 1}, 1, 0, &rng, &redirect));
+	EXPECT_NE(tree_child(&t, redirect), nullptr);
+	EXPECT_TRUE(tree_admit(&t, {1, 3}, 2, 5, &rng, &redirect));
+	EXPECT_EQ(tree_child(&t, {1, 3})->version, 2u);
+	tree_tick(&t, TREE_CHILD_US + 1);
+	EXPECT_EQ(t.nchildren, 1);
+	tree_remove_child(&t, {1, 3});
+	EXPECT_EQ(t.nchildren, 0);
+	tree_release(&t);
+}
