quota: serve a daemon again that was idle for a while

Found by t0003: after 12 s without calls an organisation's calls through a daemon were refused, 1040 of 3600 at a third of its rate. Ruled out: the drain that went on at the same time, and a change of root (epoch 1 throughout; 67 asks for 1252 waits). Cause: the parent's charge for the daemon had ended and with it the numbers of its grants, which began again at 1; the daemon took them for old ones until they passed the last it had seen.

A new charge now goes on from the number that the child names. A settling root also makes room for tokens to children that had no share yet (half of its own burst); before, they got none for 12 s.

--- a/core/quota.c
+++ b/core/quota.c
@@ -17,10 +17,12 @@
 /* What a child holds of ours. */
 struct charge {
 	LIST_ENTRY(charge) entry;
+	bool known; /* the child's last ask was seen */
 	struct addr child;
 	uint64_t incarnation;
 	double rate;
 	double burst;
+	double adopted_burst; /* of it, from an earlier root's grant */
 	double sent_rate; /* of the last grant */
 	double sent_burst;
 	double demand;
@@ -183,14 +185,26 @@
 			   : rate;
 }
 
+/* Burst that a settling root has lent to children out of its own part. */
+static double
+lent_burst(const struct bucket *b)
+{
+	const struct charge *c;
+	double sum = 0;
+
+	LIST_FOREACH (c, &b->charges, entry)
+		sum += at_least_zero(c->burst - c->adopted_burst);
+	return sum;
+}
+
 static double
 own_burst(const struct bucket *b)
 {
 	double burst = at_least_zero(b->burst - charged_burst(b));
+	double own = (1 - CHILDREN_BURST) * b->want_burst;
 
-	return b->settling
-		   ? smaller(burst, (1 - CHILDREN_BURST) * b->want_burst)
-		   : burst;
+	return b->settling ? smaller(burst, at_least_zero(own - lent_burst(b)))
+			   : burst;
 }
 
 static void
@@ -240,7 +254,7 @@
 
 	LIST_FOREACH (c, &b->charges, entry) {
 		if (c->rate == 0 && c->burst == 0)
-			c->number = 0;
+			c->known = false;
 	}
 }
 
@@ -451,13 +465,18 @@
 charge_learn(struct bucket *b, struct charge *c, const struct share_item *item)
 {
 	c->demand = item->demand;
-	if (c->number == 0) {
+	if (!c->known) {
+		/* The child remembers numbers of a charge that has ended. */
+		c->known = true;
+		if (c->number < item->number)
+			c->number = item->number;
 		if (!b->settling)
 			return;
 		c->rate = smaller(
 		    item->rate, at_least_zero(b->rate - charged_rate(b)));
 		c->burst = smaller(
 		    item->burst, at_least_zero(b->burst - charged_burst(b)));
+		c->adopted_burst = c->burst;
 		return;
 	}
 	if (item->number != c->number)
@@ -505,8 +524,12 @@
 	    at_least_zero(CHILDREN_PART * b->want_rate - charged_rate(b));
 	free_burst =
 	    at_least_zero(CHILDREN_BURST * b->want_burst - charged_burst(b));
-	if (b->settling)
-		free_rate = free_burst = 0;
+	if (b->settling) {
+		/* Room for tokens, but half of our own part stays here. */
+		free_rate = 0;
+		free_burst = at_least_zero(
+		    (1 - CHILDREN_BURST) * b->want_burst / 2 - lent_burst(b));
+	}
 	c->sent_rate = smaller(rate, c->rate + free_rate);
 	c->sent_burst = smaller(burst, c->burst + free_burst);
 	/* Debit first: the larger of old and new is charged from here on. */
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -23,10 +23,10 @@
 fleet_stop () {
 	for pid in $PIDS
 	do
-		kill -CONT "$pid" 2>/dev/null
-		kill -KILL "$pid" 2>/dev/null
+		kill -CONT "$pid" 2>/dev/null || :
+		kill -KILL "$pid" 2>/dev/null || :
 	done
-	wait 2>/dev/null
+	wait 2>/dev/null || :
 	rm -rf "$DIR"
 }
 
--- a/t/t0003-operators.sh
+++ b/t/t0003-operators.sh
@@ -20,6 +20,10 @@
 
 fail () {
 	echo "FAIL: $*"
+	for n in 1 3 4
+	do
+		status $n | grep -v " 0$" || :
+	done
 	cat "$DIR"/*.err "$DIR"/*.out 2>/dev/null
 	exit 1
 }
--- a/t/test-quota.cc
+++ b/t/test-quota.cc
@@ -452,3 +452,38 @@
 	    (unsigned long long)f.wrongful, (unsigned long long)f.asked);
 	EXPECT_LT(f.wrongful, f.asked * 0.001);
 }
+
+/* A daemon that had no share is served while a new root settles. */
+TEST(Quota, SettlingRootServesNewDemand)
+{
+	Fleet f(19, 4);
+
+	f.want[1] = 0.3 * RATE;
+	f.run(10 * SEC_US);
+	f.move_root(3);
+	f.want[2] = 0.3 * RATE;
+	f.asked = f.refused = f.wrongful = 0;
+	f.run(10 * SEC_US);
+	printf("settling: %llu of %llu refused wrongfully\n",
+	    (unsigned long long)f.wrongful, (unsigned long long)f.asked);
+	EXPECT_LT(f.wrongful, f.asked * 0.01);
+	EXPECT_LE(f.excess(), 1e-6);
+}
+
+/* Its charge has ended meanwhile, and with it the numbers of grants. */
+TEST(Quota, IdleDaemonIsServedAgain)
+{
+	Fleet f(20, 3);
+
+	f.want[1] = 0.5 * RATE;
+	f.run(20 * SEC_US);
+	f.want[1] = 0;
+	f.run(4 * QUOTA_TTL_US);
+	f.want[1] = 0.5 * RATE;
+	f.asked = f.refused = f.wrongful = 0;
+	f.run(5 * SEC_US);
+	printf("idle and back: %llu of %llu refused wrongfully\n",
+	    (unsigned long long)f.wrongful, (unsigned long long)f.asked);
+	EXPECT_LT(f.wrongful, f.asked * 0.01);
+	EXPECT_LE(f.excess(), 1e-6);
+}
