core: split the files that had grown past one job

entry.c (730 lines) kept who may call and what the caller is told; one try after the other is attempt.c now. membership.c (629) gave fencing to fence.c and the end of leaving to leave.c. wire/frame.c (634) is an encoder and a decoder. Only names changed with it; all tests pass as before.

--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,10 @@
 LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lm
 LDFLAGS	+= $(SANFLAGS)
 
-CORE	= balance catalog confstate control counters entry explain group guard hash \
-	  ledger limit membership msg node operate quota retry serve shed \
+CORE	= attempt balance catalog confstate control counters entry explain fence group guard hash \
+	  leave ledger limit membership msg node operate quota retry serve shed \
 	  tree types verdict
-WIRE	= context frame httpmap link.pb-c
+WIRE	= context frame_decode frame_encode httpmap link.pb-c
 CONFIG	= ini settings text
 DAEMON	= decide front link log main operators platform target task
 CLI	= cranberryway lines request builtin/check builtin/diff \
--- a/core/entry.c
+++ b/core/entry.c
@@ -11,12 +11,6 @@
 #include "core/node_impl.h"
 
 #define TOKEN_WAIT_US (400 * MSEC_US) /* for a token of the rate */
-#define MEMBERS_WAIT_US (1500 * MSEC_US) /* for word of any target */
-#define REPLY_GRACE_US (100 * MSEC_US) /* past the deadline, for the reply */
-#define FATE_WAIT_US (2 * SEC_US) /* for word of a try's fate */
-#define FATE_AGAIN_US (100 * MSEC_US) /* between two askings */
-#define AVOID_US (1 * SEC_US) /* a failed target is tried last */
-#define PROBE_ONE_IN 20 /* calls sent in spite of a threshold */
 #define RETRY_AFTER_MS 1000 /* told to callers who are refused */
 
 static int
@@ -34,25 +28,6 @@
 RB_GENERATE(entry_by_token, entry_call, by_token, entry_token_cmp);
 RB_GENERATE(entry_by_seq, entry_call, by_seq, entry_seq_cmp);
 
-static void try_next(
-    struct node *, struct entry_call *, struct instant, struct msg_list *);
-
-static void
-clear_seq(struct node *n, struct entry_call *c)
-{
-	struct group *g;
-	struct member *m;
-
-	if (c->seq == 0)
-		return;
-	RB_REMOVE(entry_by_seq, &n->tries, c);
-	c->seq = 0;
-	g = membership_find(n, c->service);
-	m = g != NULL ? group_find(g, c->target) : NULL;
-	if (m != NULL && m->outstanding > 0)
-		m->outstanding--;
-}
-
 /* What is left of the allowance goes back to the job that lent it. */
 static void
 return_to_job(struct node *n, const struct entry_call *c)
@@ -68,7 +43,7 @@
 static void
 call_free(struct node *n, struct entry_call *c)
 {
-	clear_seq(n, c);
+	attempt_clear(n, c);
 	RB_REMOVE(entry_by_token, &n->calls, c);
 	n->ncalls--;
 	return_to_job(n, c);
@@ -96,8 +71,8 @@
 }
 
 /* End a call with the reply, which is taken over. */
-static void
-answer(struct node *n, struct entry_call *c, struct reply *reply,
+void
+entry_answer(struct node *n, struct entry_call *c, struct reply *reply,
     struct instant now, struct msg_list *out)
 {
 	struct msg *m = msg_emit(out, MSG_ANSWER, n->setup.self, c->token);
@@ -112,8 +87,8 @@
 	call_free(n, c);
 }
 
-static void
-fail(struct node *n, struct entry_call *c, enum verdict verdict,
+void
+entry_fail(struct node *n, struct entry_call *c, enum verdict verdict,
     enum reason reason, struct instant now, struct msg_list *out)
 {
 	struct reply reply;
@@ -127,7 +102,7 @@
 	    reason == REASON_BUSY || reason == REASON_NO_LEASE ||
 	    reason == REASON_NO_TARGET)
 		reply.retry_after_ms = RETRY_AFTER_MS;
-	answer(n, c, &reply, now, out);
+	entry_answer(n, c, &reply, now, out);
 }
 
 /* Stop a try that nobody waits for any more. */
@@ -216,8 +191,8 @@
 	return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
 }
 
-static void
-make_id(struct node *n, struct entry_call *c, struct instant now)
+void
+entry_make_id(struct node *n, struct entry_call *c, struct instant now)
 {
 	name_copy(c->id_dc, n->setup.dc, sizeof(c->id_dc));
 	c->stamp_ms = now.wall_ms;
@@ -233,7 +208,7 @@
 	const uint64_t forget_ms = (LEDGER_RETAIN_US - 60 * SEC_US) / MSEC_US;
 
 	if (c->call.id[0] == '\0') {
-		make_id(n, c, now);
+		entry_make_id(n, c, now);
 		return true;
 	}
 	*f = failure_make(VERDICT_NOT_RUN, REASON_BAD_REQUEST);
@@ -297,8 +272,8 @@
 	c->context.level = shed_level(c->context.org, c->context.tree);
 }
 
-static void
-wait_for(struct entry_call *c, enum entry_state state, uint64_t until_us)
+void
+entry_wait(struct entry_call *c, enum entry_state state, uint64_t until_us)
 {
 	c->state = state;
 	c->wake_us = until_us < c->deadline_us ? until_us : c->deadline_us;
@@ -312,11 +287,11 @@
 	if (!c->keyed ||
 	    quota_take(n->quota, c->context.org, now) == QUOTA_TAKEN) {
 		c->paid = c->keyed;
-		try_next(n, c, now, out);
+		attempt_next(n, c, now, out);
 		return;
 	}
 	n->counters.values[COUNT_TOKEN_WAITS]++;
-	wait_for(c, ENTRY_TOKEN, now.mono_us + TOKEN_WAIT_US);
+	entry_wait(c, ENTRY_TOKEN, now.mono_us + TOKEN_WAIT_US);
 	control_shortage(n, now, out);
 }
 
@@ -335,7 +310,7 @@
 	n->ncalls++;
 	n->counters.values[COUNT_CALLS]++;
 	if (!admit(n, c, now, &f)) {
-		fail(n, c, f.verdict, f.reason, now, out);
+		entry_fail(n, c, f.verdict, f.reason, now, out);
 		return;
 	}
 	make_tree(n, c);
@@ -346,285 +321,6 @@
 	pay(n, c, now, out);
 }
 
-/* Refuse here what the target would refuse; a few probe the threshold. */
-static bool
-refuse_early(struct node *n, const struct entry_call *c, const struct member *m)
-{
-	if (!threshold_refuses(
-		m->threshold, c->context.importance, c->context.level))
-		return false;
-	return rng_below(&n->rng, PROBE_ONE_IN) != 0;
-}
-
-static struct member *
-choose_owner(struct entry_call *c, struct group *g, struct instant now,
-    struct failure *f)
-{
-	struct owner o = group_owner(g, c->id_dc, c->id, c->stamp_ms, now);
-
-	switch (o.kind) {
-	case OWNER_SELF:
-	case OWNER_OTHER:
-		return o.member;
-	case OWNER_DOUBT:
-		*f = failure_make(VERDICT_MAY_HAVE_RUN, REASON_OWNER_LOST);
-		return NULL;
-	case OWNER_NO_LEASE:
-		*f = failure_make(VERDICT_NOT_RUN, REASON_NO_LEASE);
-		return NULL;
-	default:
-		*f = failure_make(VERDICT_NOT_RUN, REASON_NO_TARGET);
-		return NULL;
-	}
-}
-
-static void
-emit_forward(struct node *n, struct entry_call *c, struct member *m,
-    struct instant now, struct msg_list *out)
-{
-	struct msg *msg;
-	struct forward *f;
-
-	c->seq = node_seq(n);
-	RB_INSERT(entry_by_seq, &n->tries, c);
-	c->target = m->record.addr;
-	c->target_incarnation = m->record.incarnation;
-	m->outstanding++;
-	c->tries++;
-	n->counters.values[COUNT_TRIES]++;
-	msg = msg_emit(out, MSG_FORWARD, c->target, c->seq);
-	f = &msg->u.forward;
-	name_copy(f->service, c->service, sizeof(f->service));
-	name_copy(f->id, c->id, sizeof(f->id));
-	f->idempotent = c->idempotent;
-	f->incarnation = m->record.incarnation;
-	f->config_version = n->conf.version;
-	f->context = c->context;
-	f->context.deadline_ms = (c->deadline_us - now.mono_us) / MSEC_US;
-	f->context.allowance =
-	    n->setup.retrier->share(c->job != 0, c->allowance);
-	c->allowance -= f->context.allowance;
-	request_copy(&f->request, &c->call.request);
-	wait_for(c, ENTRY_SENT, UINT64_MAX);
-	c->wake_us = c->deadline_us + REPLY_GRACE_US;
-}
-
-static void
-try_next(struct node *n, struct entry_call *c, struct instant now,
-    struct msg_list *out)
-{
-	struct failure f = {VERDICT_NOT_RUN, REASON_NO_TARGET};
-	struct group *g = membership_group(n, c->service);
-	struct member *m;
-
-	g->used_us = now.mono_us;
-	if (now.mono_us + MSEC_US >= c->deadline_us) {
-		fail(n, c, VERDICT_NOT_RUN, REASON_DEADLINE, now, out);
-		return;
-	}
-	if (c->idempotent)
-		m = n->setup.balancer->choose(g, &c->balance, &n->rng, now);
-	else
-		m = choose_owner(c, g, now, &f);
-	if (m == NULL && g->count == 0 && c->tries == 0 &&
-	    now.mono_us - c->begun_us < MEMBERS_WAIT_US) {
-		membership_read_rows(n, g, now, out);
-		wait_for(c, ENTRY_MEMBERS, c->begun_us + MEMBERS_WAIT_US);
-		return;
-	}
-	if (m == NULL) {
-		fail(n, c, f.verdict, f.reason, now, out);
-		return;
-	}
-	if (refuse_early(n, c, m)) {
-		fail(n, c, VERDICT_NOT_RUN, REASON_SHED, now, out);
-		return;
-	}
-	emit_forward(n, c, m, now, out);
-}
-
-/* Whether another try at another time or place could go better. */
-static bool
-reason_may_pass(enum reason reason)
-{
-	switch (reason) {
-	case REASON_SHED:
-	case REASON_NO_TARGET:
-	case REASON_LEAVING:
-	case REASON_TARGET_FAILED:
-	case REASON_LINK_LOST:
-	case REASON_NO_LEASE:
-	case REASON_NOT_OWNER:
-		return true;
-	default:
-		return false;
-	}
-}
-
-static void
-remember_tried(struct entry_call *c)
-{
-	struct balance_call *b = &c->balance;
-
-	b->tried[b->ntried % BALANCE_MAX_TRIED] = c->target;
-	if (b->ntried < BALANCE_MAX_TRIED)
-		b->ntried++;
-}
-
-/* A try has failed and is over: try again or tell the caller. */
-static void
-try_failed(struct node *n, struct entry_call *c, struct failure f,
-    struct instant now, struct msg_list *out)
-{
-	uint64_t pause;
-
-	clear_seq(n, c);
-	remember_tried(c);
-	if (!reason_may_pass(f.reason) ||
-	    !verdict_may_retry(f.verdict, c->idempotent) || c->allowance == 0 ||
-	    !n->setup.retrier->take(&n->budget)) {
-		fail(n, c, f.verdict, f.reason, now, out);
-		return;
-	}
-	pause = retry_backoff_us(c->retries, &n->rng);
-	if (now.mono_us + pause >= c->deadline_us) {
-		fail(n, c, f.verdict, f.reason, now, out);
-		return;
-	}
-	/* An id of our own that did not run can be replaced by a new one. */
-	if (!c->idempotent && c->call.id[0] == '\0')
-		make_id(n, c, now);
-	c->allowance--;
-	c->retries++;
-	n->counters.values[COUNT_RETRIES]++;
-	wait_for(c, ENTRY_BACKOFF, now.mono_us + pause);
-}
-
-static void
-learn_from_reply(struct node *n, const struct entry_call *c,
-    const struct reply *r, struct instant now)
-{
-	struct group *g = membership_find(n, c->service);
-	struct member *m = g != NULL ? group_find(g, c->target) : NULL;
-
-	if (m == NULL)
-		return;
-	m->threshold = r->threshold;
-	m->load = r->load;
-	m->heard_us = now.mono_us;
-	if (r->leaving && m->record.state == MEMBER_ALIVE && !m->self) {
-		m->record.state = MEMBER_LEAVING;
-		m->record.ended_ms = now.wall_ms + GROUP_LEAVE_MS;
-	}
-	if (r->failure.reason == REASON_TARGET_FAILED ||
-	    r->failure.reason == REASON_NO_TARGET)
-		m->avoid_us = now.mono_us + AVOID_US;
-}
-
-void
-entry_reply(
-    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
-{
-	struct entry_call want, *c;
-	struct reply *r = &msg->u.reply;
-
-	want.seq = msg->seq;
-	c = RB_FIND(entry_by_seq, &n->tries, &want);
-	if (c == NULL || !addr_equal(c->target, msg->peer))
-		return;
-	learn_from_reply(n, c, r, now);
-	c->allowance += r->allowance;
-	c->tries += r->tries;
-	if (r->failure.reason == REASON_NONE &&
-	    (!n->setup.retrier->is_failure(r->status) || c->allowance == 0)) {
-		clear_seq(n, c);
-		answer(n, c, r, now, out);
-		return;
-	}
-	if (r->failure.reason == REASON_NONE)
-		r->failure =
-		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED);
-	try_failed(n, c, r->failure, now, out);
-}
-
-static void
-ask_fate(struct node *n, struct entry_call *c, struct instant now,
-    struct msg_list *out)
-{
-	struct msg *m = msg_emit(out, MSG_ASK_FATE, c->target, c->seq);
-
-	name_copy(m->u.fate.org, c->context.org, sizeof(m->u.fate.org));
-	name_copy(m->u.fate.id, c->id, sizeof(m->u.fate.id));
-	m->u.fate.seq = c->seq;
-	m->u.fate.incarnation = c->target_incarnation;
-	n->counters.values[COUNT_FATES_ASKED]++;
-	c->state = ENTRY_ASKING;
-	c->wake_us = now.mono_us + FATE_AGAIN_US;
-}
-
-void
-entry_fate(
-    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
-{
-	struct entry_call want, *c;
-
-	want.seq = msg->u.fate.seq;
-	c = RB_FIND(entry_by_seq, &n->tries, &want);
-	if (c == NULL || c->state != ENTRY_ASKING ||
-	    !addr_equal(c->target, msg->peer))
-		return;
-	switch (msg->u.fate.state) {
-	case FATE_TOMBSTONE:
-		try_failed(n, c,
-		    failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST), now, out);
-		break;
-	case FATE_RUNNING:
-	case FATE_RAN:
-		c->state = ENTRY_SENT;
-		c->wake_us = c->deadline_us + REPLY_GRACE_US;
-		break;
-	default:
-		try_failed(n, c,
-		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST), now,
-		    out);
-		break;
-	}
-}
-
-static void
-link_down_call(struct node *n, struct entry_call *c, bool sent,
-    struct instant now, struct msg_list *out)
-{
-	struct group *g = membership_find(n, c->service);
-	struct member *m = g != NULL ? group_find(g, c->target) : NULL;
-
-	if (m != NULL)
-		m->avoid_us = now.mono_us + AVOID_US;
-	if (c->state == ENTRY_ASKING)
-		return;
-	if (sent && !c->idempotent) {
-		c->ask_until_us = now.mono_us + FATE_WAIT_US;
-		ask_fate(n, c, now, out);
-		return;
-	}
-	try_failed(n, c,
-	    failure_make(sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN,
-		REASON_LINK_LOST),
-	    now, out);
-}
-
-void
-entry_link_down(struct node *n, struct addr peer, bool sent, struct instant now,
-    struct msg_list *out)
-{
-	struct entry_call *c, *next;
-
-	RB_FOREACH_SAFE (c, entry_by_seq, &n->tries, next) {
-		if (addr_equal(c->target, peer))
-			link_down_call(n, c, sent, now, out);
-	}
-}
-
 void
 entry_gone(struct node *n, uint64_t token, struct msg_list *out)
 {
@@ -661,8 +357,8 @@
 		if (c->state == ENTRY_SENT || c->state == ENTRY_ASKING)
 			emit_cancel(c, true, out);
 		else
-			fail(n, c, VERDICT_NOT_RUN, REASON_KEY_REFUSED, now,
-			    out);
+			entry_fail(n, c, VERDICT_NOT_RUN, REASON_KEY_REFUSED,
+			    now, out);
 	}
 }
 
@@ -673,12 +369,12 @@
 
 	RB_FOREACH_SAFE (c, entry_by_token, &n->calls, next) {
 		if (c->state == ENTRY_MEMBERS) {
-			try_next(n, c, now, out);
+			attempt_next(n, c, now, out);
 		} else if (c->state == ENTRY_TOKEN &&
 			   quota_take_again(n->quota, c->context.org, now) ==
 			       QUOTA_TAKEN) {
 			c->paid = true;
-			try_next(n, c, now, out);
+			attempt_next(n, c, now, out);
 		}
 	}
 }
@@ -689,7 +385,7 @@
     struct msg_list *out)
 {
 	emit_cancel(c, false, out);
-	fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_DEADLINE, now, out);
+	entry_fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_DEADLINE, now, out);
 }
 
 static void
@@ -698,21 +394,21 @@
 {
 	switch (c->state) {
 	case ENTRY_TOKEN:
-		fail(n, c, VERDICT_NOT_RUN, REASON_OVER_RATE, now, out);
+		entry_fail(n, c, VERDICT_NOT_RUN, REASON_OVER_RATE, now, out);
 		break;
 	case ENTRY_MEMBERS:
 	case ENTRY_BACKOFF:
-		try_next(n, c, now, out);
+		attempt_next(n, c, now, out);
 		break;
 	case ENTRY_SENT:
 		reply_overdue(n, c, now, out);
 		break;
 	case ENTRY_ASKING:
 		if (now.mono_us < c->ask_until_us)
-			ask_fate(n, c, now, out);
+			attempt_ask_fate(n, c, now, out);
 		else
-			fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST, now,
-			    out);
+			entry_fail(n, c, VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST,
+			    now, out);
 		break;
 	}
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -13,7 +13,6 @@
 
 #define ROWS_AGAIN_US (2 * SEC_US) /* between reads of a group's rows */
 #define ROW_AGAIN_US (2 * SEC_US) /* between writes of our own row */
-#define LATE_IDS_MS 400 /* owned ids may still be under way so long */
 #define UNUSED_US (120 * SEC_US) /* a group nobody calls is dropped */
 #define ANY_VERSION UINT64_MAX
 
@@ -98,8 +97,8 @@
 }
 
 /* Tell all members of our state at once. */
-static void
-broadcast(
+void
+membership_broadcast(
     struct node *n, struct group *g, struct instant now, struct msg_list *out)
 {
 	struct member *m;
@@ -119,8 +118,8 @@
 	    n->setup.dc, n->setup.self.ip, n->setup.self.port);
 }
 
-static void
-write_own_row(
+void
+membership_write_row(
     struct node *n, struct group *g, struct instant now, struct msg_list *out)
 {
 	struct member_record *r = &g->self->record;
@@ -138,8 +137,9 @@
 	node_write_row(n, key, ANY_VERSION, value, strlen(value), out);
 }
 
-static void
-join(struct node *n, struct group *g, struct instant now, struct msg_list *out)
+void
+membership_join(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
 {
 	struct member_record r;
 
@@ -162,9 +162,9 @@
 	}
 	group_join(g, &r, now);
 	n->target.row_written = false;
-	write_own_row(n, g, now, out);
+	membership_write_row(n, g, now, out);
 	membership_read_rows(n, g, now, out);
-	broadcast(n, g, now, out);
+	membership_broadcast(n, g, now, out);
 }
 
 static void
@@ -195,7 +195,7 @@
 		return;
 	g->self->record.state = MEMBER_LEAVING;
 	g->self->record.ended_ms = n->target.leave_ms;
-	broadcast(n, g, now, out);
+	membership_broadcast(n, g, now, out);
 }
 
 void
@@ -215,7 +215,7 @@
 	}
 	target_start(n, a);
 	g = membership_group(n, a->service);
-	join(n, g, now, out);
+	membership_join(n, g, now, out);
 }
 
 static void
@@ -304,7 +304,7 @@
 	}
 	if (accused && !n->target.leaving) {
 		n->counters.values[COUNT_REINCARNATIONS]++;
-		join(n, g, now, out);
+		membership_join(n, g, now, out);
 	}
 	if (changed)
 		entry_wake(n, now, out);
@@ -330,64 +330,6 @@
 		group_merge(g, &r, now);
 }
 
-static void
-take_fence_line(struct group *g, const char *line, struct instant now)
-{
-	struct addr a;
-	struct member *m;
-	unsigned int port;
-	uint64_t incarnation;
-
-	if (sscanf(line, "%" SCNu32 ":%u:%" SCNu64, &a.ip, &port,
-		&incarnation) != 3)
-		return;
-	a.port = port;
-	RB_FOREACH (m, member_tree, &g->members) {
-		if (!addr_equal(m->record.addr, a) ||
-		    m->record.incarnation != incarnation)
-			continue;
-		m->fenced = true;
-		if (m->record.state < MEMBER_LEFT && !m->self) {
-			m->record.state = MEMBER_GONE;
-			m->record.ended_ms = now.wall_ms;
-			m->ended_us = now.mono_us;
-		}
-	}
-}
-
-static bool
-self_is_fenced(const struct group *g)
-{
-	return g->self != NULL && g->self->fenced;
-}
-
-/*
- * The fence row of a data centre's group lists members that are gone for
- * good.  It moves by compare-and-set only, so of two halves that hold each
- * other for gone one is first, and the other finds itself in the list.
- */
-static void
-fence_row(struct node *n, struct group *g, struct row *row, struct instant now,
-    struct msg_list *out)
-{
-	const char *p = row->value.data;
-
-	if (row->status == ROW_UNKNOWN || row->status == ROW_CONFLICT)
-		return;
-	g->rows_version = row->version;
-	g->rows_read = true;
-	while (p != NULL && *p != '\0') {
-		take_fence_line(g, p, now);
-		p = strchr(p, '\n');
-		if (p != NULL)
-			p++;
-	}
-	if (self_is_fenced(g)) {
-		n->counters.values[COUNT_REINCARNATIONS]++;
-		join(n, g, now, out);
-	}
-}
-
 static struct group *
 group_of_key(struct node *n, const char *key)
 {
@@ -432,54 +374,10 @@
 			p++;
 	}
 	if (g->self != NULL)
-		broadcast(n, g, now, out);
+		membership_broadcast(n, g, now, out);
 	entry_wake(n, now, out);
 }
 
-static bool
-has_unfenced_gone(struct group *g)
-{
-	struct member *m;
-
-	RB_FOREACH (m, member_tree, &g->members) {
-		if (m->record.state == MEMBER_GONE && !m->fenced && !m->self &&
-		    strcmp(m->record.dc, g->dc) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* Too few are left for a majority: ask the platform to fence the gone. */
-static void
-fence_gone(
-    struct node *n, struct group *g, struct instant now, struct msg_list *out)
-{
-	char key[256], value[4096];
-	struct member *m;
-	size_t len = 0;
-
-	if (g->polled_us != 0 && now.mono_us - g->polled_us < SEC_US)
-		return;
-	g->polled_us = now.mono_us;
-	snprintf(key, sizeof(key), "fence/%s/%s", g->service, g->dc);
-	if (!g->rows_read) {
-		node_read_row(n, key, false, out);
-		return;
-	}
-	g->rows_read = false;
-	RB_FOREACH (m, member_tree, &g->members) {
-		if (m->record.state != MEMBER_GONE ||
-		    strcmp(m->record.dc, g->dc) != 0 ||
-		    len + 64 > sizeof(value))
-			continue;
-		len += snprintf(value + len, sizeof(value) - len,
-		    "%" PRIu32 ":%u:%" PRIu64 "\n", m->record.addr.ip,
-		    m->record.addr.port, m->record.incarnation);
-	}
-	node_write_row(n, key, g->rows_version, value, len, out);
-	node_read_row(n, key, false, out);
-}
-
 static void
 beat_members(
     struct node *n, struct group *g, struct instant now, struct msg_list *out)
@@ -536,57 +434,6 @@
 		m->heard_us = now.mono_us;
 }
 
-static void
-hand_over(struct node *n, struct group *g, struct msg_list *out)
-{
-	struct ledger_record *rec = NULL;
-	struct member *m;
-	struct msg *msg;
-	uint64_t stamp_ms;
-	char dc[NAME_LEN];
-
-	while ((rec = ledger_next(n->ledger, rec)) != NULL) {
-		if (rec->state != LEDGER_STATE_RAN ||
-		    !id_parse(rec->id, &stamp_ms, dc, sizeof(dc)))
-			continue;
-		m = group_successor(g, rec->id, stamp_ms);
-		if (m == NULL)
-			continue;
-		msg = msg_emit(out, MSG_HANDOVER, m->record.addr, node_seq(n));
-		name_copy(msg->u.handover.service, g->service, NAME_LEN);
-		name_copy(msg->u.handover.org, rec->org, NAME_LEN);
-		name_copy(msg->u.handover.id, rec->id, ID_LEN);
-		msg->u.handover.kept = rec->kept;
-		if (rec->kept)
-			reply_copy(&msg->u.handover.reply, &rec->reply);
-		n->counters.values[COUNT_HANDOVERS]++;
-	}
-	RB_FOREACH (m, member_tree, &g->members) {
-		if (m->self || m->record.state >= MEMBER_LEFT ||
-		    strcmp(m->record.dc, g->dc) != 0)
-			continue;
-		msg = msg_emit(out, MSG_HANDOVER, m->record.addr, node_seq(n));
-		name_copy(msg->u.handover.service, g->service, NAME_LEN);
-		msg->u.handover.last = true;
-	}
-}
-
-/* Past the leaving time and with nothing running: hand over and be gone. */
-static void
-finish_leaving(
-    struct node *n, struct group *g, struct instant now, struct msg_list *out)
-{
-	if (!n->target.leaving || n->target.left || n->njobs > 0 ||
-	    now.wall_ms < n->target.leave_ms + LATE_IDS_MS)
-		return;
-	hand_over(n, g, out);
-	n->target.left = true;
-	g->self->record.state = MEMBER_LEFT;
-	broadcast(n, g, now, out);
-	n->target.row_written = false;
-	write_own_row(n, g, now, out);
-}
-
 static void
 target_tick(
     struct node *n, struct group *g, struct instant now, struct msg_list *out)
@@ -598,13 +445,13 @@
 	beat_members(n, g, now, out);
 	if (!n->target.row_written &&
 	    now.mono_us - n->target.row_us > ROW_AGAIN_US) {
-		write_own_row(n, g, now, out);
+		membership_write_row(n, g, now, out);
 		membership_read_rows(n, g, now, out);
 	}
-	if (!group_has_lease(g, now, has_unfenced_gone(g)) &&
-	    has_unfenced_gone(g))
+	if (!group_has_lease(g, now, fence_has_unfenced(g)) &&
+	    fence_has_unfenced(g))
 		fence_gone(n, g, now, out);
-	finish_leaving(n, g, now, out);
+	leave_finish(n, g, now, out);
 }
 
 void
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -1,9 +1,12 @@
 /*
  * node_impl - what the files that make up a node share; private to core/
  *
- * entry.c	calls of callers: key, rate, choice of target, tries, answer
+ * entry.c	calls of callers: key, rate, answer
+ * attempt.c	their tries: choice of target, retries, fates
  * serve.c	calls at the target's daemon: ledger, queue, limit, reply
  * membership.c	groups: heartbeats, rows, joining and leaving
+ * fence.c	members that are gone for good
+ * leave.c	the hand-over of a member that leaves
  * control.c	the tree: configuration, shares of rates
  * operate.c	operators' requests
  * node.c	dispatch of messages and ticks
@@ -151,6 +154,19 @@
 /* Tokens or members came: look at the calls that wait for them. */
 void entry_wake(struct node *, struct instant, struct msg_list *);
 
+/* Between entry.c and attempt.c: each ends or suspends the call. */
+void entry_answer(struct node *, struct entry_call *, struct reply *,
+    struct instant, struct msg_list *);
+void entry_fail(struct node *, struct entry_call *, enum verdict, enum reason,
+    struct instant, struct msg_list *);
+void entry_wait(struct entry_call *, enum entry_state, uint64_t until_us);
+void entry_make_id(struct node *, struct entry_call *, struct instant);
+void attempt_next(
+    struct node *, struct entry_call *, struct instant, struct msg_list *);
+void attempt_ask_fate(
+    struct node *, struct entry_call *, struct instant, struct msg_list *);
+void attempt_clear(struct node *, struct entry_call *);
+
 /* serve.c */
 void serve_forward(
     struct node *, struct msg *, struct instant, struct msg_list *);
@@ -184,6 +200,21 @@
 void membership_tick(struct node *, struct instant, struct msg_list *);
 void membership_destroy(struct node *);
 
+/* Between membership.c, fence.c and leave.c. */
+void membership_join(
+    struct node *, struct group *, struct instant, struct msg_list *);
+void membership_broadcast(
+    struct node *, struct group *, struct instant, struct msg_list *);
+void membership_write_row(
+    struct node *, struct group *, struct instant, struct msg_list *);
+void fence_row(struct node *, struct group *, struct row *, struct instant,
+    struct msg_list *);
+bool fence_has_unfenced(struct group *);
+void fence_gone(
+    struct node *, struct group *, struct instant, struct msg_list *);
+void leave_finish(
+    struct node *, struct group *, struct instant, struct msg_list *);
+
 /* control.c */
 void control_ask(
     struct node *, struct msg *, struct instant, struct msg_list *);
--- /dev/null
+++ b/wire/frame_encode.c
@@ -0,0 +1,314 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire/frame.h"
+#include "wire/link.pb-c.h"
+
+/* protobuf-c frees nothing that it did not allocate: packing borrows. */
+
+static char *
+borrow_string(const char *s)
+{
+	return (char *)(uintptr_t)s;
+}
+
+static ProtobufCBinaryData
+borrow_buffer(const struct buffer *b)
+{
+	ProtobufCBinaryData data = {b->len, (uint8_t *)b->data};
+
+	return data;
+}
+
+static void
+pack_frame(const Link__Frame *f, struct buffer *buf)
+{
+	size_t len = link__frame__get_packed_size(f);
+	uint8_t *p = xcalloc(1, len + FRAME_HEAD + 1);
+
+	p[0] = (len >> 24) & 255;
+	p[1] = (len >> 16) & 255;
+	p[2] = (len >> 8) & 255;
+	p[3] = len & 255;
+	link__frame__pack(f, p + FRAME_HEAD);
+	buffer_release(buf);
+	buf->data = (char *)p;
+	buf->len = len + FRAME_HEAD;
+}
+
+static void
+pack_context(Link__Context *p, const struct call_context *c)
+{
+	link__context__init(p);
+	p->tree = c->tree;
+	p->org = borrow_string(c->org);
+	p->importance = c->importance;
+	p->level = c->level;
+	p->deadline_ms = c->deadline_ms;
+	p->allowance = c->allowance;
+	p->job = c->job;
+}
+
+static void
+pack_forward(Link__Forward *p, Link__Context *ctx, const struct forward *f)
+{
+	link__forward__init(p);
+	pack_context(ctx, &f->context);
+	p->service = borrow_string(f->service);
+	p->id = borrow_string(f->id);
+	p->idempotent = f->idempotent;
+	p->incarnation = f->incarnation;
+	p->config_version = f->config_version;
+	p->context = ctx;
+	p->method = borrow_string(f->request.method);
+	p->path = borrow_string(f->request.path);
+	p->headers = borrow_buffer(&f->request.headers);
+	p->body = borrow_buffer(&f->request.body);
+}
+
+static void
+pack_reply(Link__Reply *p, const struct reply *r)
+{
+	link__reply__init(p);
+	p->status = r->status;
+	p->verdict = r->failure.verdict;
+	p->reason = r->failure.reason;
+	p->headers = borrow_buffer(&r->headers);
+	p->body = borrow_buffer(&r->body);
+	p->allowance = r->allowance;
+	p->tries = r->tries;
+	p->retry_after_ms = r->retry_after_ms;
+	p->threshold_importance = r->threshold.importance;
+	p->threshold_level = r->threshold.level;
+	p->load = r->load;
+	p->leaving = r->leaving;
+}
+
+static void
+pack_fate(Link__Fate *p, const struct fate *f)
+{
+	link__fate__init(p);
+	p->org = borrow_string(f->org);
+	p->id = borrow_string(f->id);
+	p->seq = f->seq;
+	p->incarnation = f->incarnation;
+	p->state = f->state;
+}
+
+static void
+pack_member(Link__Member *p, const struct member_record *r)
+{
+	link__member__init(p);
+	p->ip = r->addr.ip;
+	p->port = r->addr.port;
+	p->incarnation = r->incarnation;
+	p->owner_from_ms = r->owner_from_ms;
+	p->ended_ms = r->ended_ms;
+	p->state = r->state;
+	p->slots = r->slots;
+	p->dc = borrow_string(r->dc);
+}
+
+static void
+pack_members_ask(
+    Link__MembersAsk *p, Link__Member *self, const struct members_ask *a)
+{
+	link__members_ask__init(p);
+	p->service = borrow_string(a->service);
+	p->digest = a->digest;
+	p->sent_us = a->sent_us;
+	p->is_target = a->is_target;
+	if (a->is_target) {
+		pack_member(self, &a->self);
+		p->self = self;
+	}
+}
+
+static void
+pack_members(Link__Members *p, const struct members *m, struct buffer *buf,
+    Link__Frame *f)
+{
+	Link__Member *records = xcalloc(m->count + 1, sizeof(*records));
+	Link__Member **list = xcalloc(m->count + 1, sizeof(*list));
+	int i;
+
+	link__members__init(p);
+	for (i = 0; i < m->count; i++) {
+		pack_member(&records[i], &m->records[i]);
+		list[i] = &records[i];
+	}
+	p->service = borrow_string(m->service);
+	p->sent_us = m->sent_us;
+	p->granted = m->granted;
+	p->gone_digest = m->gone_digest;
+	p->load = m->load;
+	p->threshold_importance = m->threshold.importance;
+	p->threshold_level = m->threshold.level;
+	p->n_records = m->count;
+	p->records = list;
+	pack_frame(f, buf);
+	free(records);
+	free(list);
+}
+
+static void
+pack_handover(Link__Handover *p, Link__Reply *r, const struct handover *h)
+{
+	link__handover__init(p);
+	pack_reply(r, &h->reply);
+	p->service = borrow_string(h->service);
+	p->org = borrow_string(h->org);
+	p->id = borrow_string(h->id);
+	p->last = h->last;
+	p->kept = h->kept;
+	p->reply = r;
+}
+
+static void
+pack_config(Link__Config *p, const struct config *c)
+{
+	link__config__init(p);
+	p->version = c->version;
+	p->digest = c->digest;
+	p->base_version = c->base;
+	p->prefix = c->prefix;
+	p->suffix = c->suffix;
+	p->epoch = c->epoch;
+	p->confirmed_ms = c->confirmed_ms;
+	p->redirect_ip = c->redirect.ip;
+	p->redirect_port = c->redirect.port;
+	p->incarnation = c->incarnation;
+	p->accepted = c->accepted;
+	p->text = borrow_buffer(&c->text);
+}
+
+static void
+pack_share(
+    Link__Share *p, const struct share *s, struct buffer *buf, Link__Frame *f)
+{
+	Link__ShareItem items[SHARES_PER_MSG], *list[SHARES_PER_MSG];
+	int i;
+
+	link__share__init(p);
+	for (i = 0; i < s->count; i++) {
+		link__share_item__init(&items[i]);
+		items[i].org = borrow_string(s->items[i].org);
+		items[i].rate = s->items[i].rate;
+		items[i].burst = s->items[i].burst;
+		items[i].tokens = s->items[i].tokens;
+		items[i].demand = s->items[i].demand;
+		items[i].number = s->items[i].number;
+		list[i] = &items[i];
+	}
+	p->epoch = s->epoch;
+	p->incarnation = s->incarnation;
+	p->sent_us = s->sent_us;
+	p->ttl_us = s->ttl_us;
+	p->n_items = s->count;
+	p->items = list;
+	pack_frame(f, buf);
+}
+
+/* Room for whichever message a frame holds. */
+union parts {
+	Link__Forward forward;
+	Link__Reply reply;
+	Link__Cancel cancel;
+	Link__Fate fate;
+	Link__MembersAsk members_ask;
+	Link__Members members;
+	Link__Handover handover;
+	Link__Config config;
+	Link__Share share;
+};
+
+void
+frame_encode(const struct msg *m, struct buffer *buf)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Context ctx;
+	Link__Member self;
+	Link__Reply reply;
+	union parts u;
+
+	f.seq = m->seq;
+	switch (m->kind) {
+	case MSG_FORWARD:
+		pack_forward(&u.forward, &ctx, &m->u.forward);
+		f.body_case = LINK__FRAME__BODY_FORWARD;
+		f.forward = &u.forward;
+		break;
+	case MSG_REPLY:
+		pack_reply(&u.reply, &m->u.reply);
+		f.body_case = LINK__FRAME__BODY_REPLY;
+		f.reply = &u.reply;
+		break;
+	case MSG_CANCEL:
+		link__cancel__init(&u.cancel);
+		u.cancel.queued_only = m->queued_only;
+		f.body_case = LINK__FRAME__BODY_CANCEL;
+		f.cancel = &u.cancel;
+		break;
+	case MSG_ASK_FATE:
+	case MSG_FATE:
+		pack_fate(&u.fate, &m->u.fate);
+		f.body_case = m->kind == MSG_FATE ? LINK__FRAME__BODY_FATE
+						  : LINK__FRAME__BODY_ASK_FATE;
+		f.fate = &u.fate;
+		break;
+	case MSG_MEMBERS_ASK:
+		pack_members_ask(&u.members_ask, &self, &m->u.members_ask);
+		f.body_case = LINK__FRAME__BODY_MEMBERS_ASK;
+		f.members_ask = &u.members_ask;
+		break;
+	case MSG_MEMBERS:
+		f.body_case = LINK__FRAME__BODY_MEMBERS;
+		f.members = &u.members;
+		pack_members(&u.members, &m->u.members, buf, &f);
+		return;
+	case MSG_HANDOVER:
+		pack_handover(&u.handover, &reply, &m->u.handover);
+		f.body_case = LINK__FRAME__BODY_HANDOVER;
+		f.handover = &u.handover;
+		break;
+	case MSG_CONFIG_ASK:
+	case MSG_CONFIG:
+		pack_config(&u.config, &m->u.config);
+		f.body_case = m->kind == MSG_CONFIG
+				  ? LINK__FRAME__BODY_CONFIG
+				  : LINK__FRAME__BODY_CONFIG_ASK;
+		f.config = &u.config;
+		break;
+	default:
+		f.body_case = m->kind == MSG_SHARE
+				  ? LINK__FRAME__BODY_SHARE
+				  : LINK__FRAME__BODY_SHARE_ASK;
+		f.share = &u.share;
+		pack_share(&u.share, &m->u.share, buf, &f);
+		return;
+	}
+	pack_frame(&f, buf);
+}
+
+void
+frame_encode_handshake(const struct handshake *h, struct buffer *buf)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Hello hello = LINK__HELLO__INIT;
+	Link__Proof proof = LINK__PROOF__INIT;
+
+	if (h->is_hello) {
+		hello.ip = h->addr.ip;
+		hello.port = h->addr.port;
+		hello.nonce.data = (uint8_t *)(uintptr_t)h->nonce;
+		hello.nonce.len = FRAME_NONCE_LEN;
+		f.body_case = LINK__FRAME__BODY_HELLO;
+		f.hello = &hello;
+	} else {
+		proof.mac.data = (uint8_t *)(uintptr_t)h->mac;
+		proof.mac.len = FRAME_MAC_LEN;
+		f.body_case = LINK__FRAME__BODY_PROOF;
+		f.proof = &proof;
+	}
+	pack_frame(&f, buf);
+}
