--- a/core/entry.c
+++ b/core/entry.c
@@ -1,6 +1,6 @@
 /*
- * A call at the daemon that took it from the caller: who may make it, which
- * target gets it, whether it is tried again, and what the caller is told.
+ * A call at the daemon that took it from the caller: who may make it, what it
+ * waits for, and what the caller is told.  attempt.c has its tries.
  */
 #include <inttypes.h>
 #include <stdio.h>
--- a/core/msg.h
+++ b/core/msg.h
@@ -257,7 +257,6 @@
 	enum msg_kind kind;
 	struct addr peer; /* the daemon it came from or goes to */
 	uint64_t seq; /* pairs a request with its reply */
-	uint64_t cost_us; /* for MSG_RUN_DONE: how long the target took */
 	bool sent; /* for MSG_LINK_DOWN: bytes may have left */
 	bool queued_only; /* for MSG_CANCEL: leave it if it runs */
 	union {
--- a/core/quota.c
+++ b/core/quota.c
@@ -113,12 +113,6 @@
 	}
 }
 
-bool
-quota_is_root(const struct quota *q)
-{
-	return q->root;
-}
-
 void
 quota_set_total(struct quota *q, const char *org, double rate, double burst)
 {
@@ -328,17 +322,3 @@
 			bucket_destroy(q, b);
 	}
 }
-
-double
-quota_held_rate(struct quota *q, const char *org)
-{
-	struct bucket *b = bucket_find(q, org);
-
-	return b != NULL ? at_least_zero(b->rate - bucket_charged_rate(b)) : 0;
-}
-
-size_t
-quota_count(const struct quota *q)
-{
-	return q->count;
-}
--- a/core/quota.h
+++ b/core/quota.h
@@ -16,7 +16,7 @@
  *	quota_take(q, "brno", now)		for each call
  *	quota_ask(q, now, &ask)			to send to the parent
  *	quota_granted(q, &grant, now)		when its answer comes
- *	quota_grant(q, child, inc, &ask, now, &grant)	for a child's ask
+ *	quota_grant(q, child, &ask, now, &grant)	for a child's ask
  *
  * Rates are calls a second, bursts and tokens are calls.
  */
@@ -48,7 +48,6 @@
  * only renews what the children say they hold.
  */
 void quota_set_root(struct quota *, bool root, uint64_t settle_us);
-bool quota_is_root(const struct quota *);
 /* The whole of the data centre; zero withdraws the organisation. */
 void quota_set_total(
     struct quota *, const char *org, double rate, double burst);
@@ -80,8 +79,4 @@
 /* End shares and charges that have run out. */
 void quota_tick(struct quota *, struct instant now);
 
-/* For status: what this daemon holds of an organisation, less charges. */
-double quota_held_rate(struct quota *, const char *org);
-size_t quota_count(const struct quota *);
-
 #endif
--- a/core/quota_impl.h
+++ b/core/quota_impl.h
@@ -10,10 +10,9 @@
 
 #include "core/quota.h"
 
-#define CHILDREN_PART                                                          \
-	0.3 /* of the rate held, that children may hold in all                 \
-	     */
-#define CHILDREN_BURST 0.6 /* of the burst held, likewise */
+/* Parts of what is held that all children together may hold. */
+#define CHILDREN_PART 0.3
+#define CHILDREN_BURST 0.6
 #define WHOLE_CALL 1.0 /* a bucket below it can never admit */
 
 /* What a child holds of ours. */
@@ -64,8 +63,6 @@
 	size_t count;
 	bool root;
 	uint64_t settle_us;
-	uint64_t incarnation;
-	char next[NAME_LEN]; /* where the next ask goes on */
 };
 
 static inline double
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -22,7 +22,6 @@
 	struct target *target;
 	struct evhttp_connection *http;
 	struct evhttp_request *req; /* NULL while idle */
-	struct instant begun;
 	uint64_t seq;
 	uint16_t port;
 	bool sent; /* bytes of the present request may have left */
@@ -199,7 +198,6 @@
 
 	m->seq = c->seq;
 	read_outcome(c, req, &m->u.reply);
-	m->cost_us = daemon_now().mono_us - c->begun.mono_us;
 	task_send(c->target->daemon->decide, m);
 }
 
@@ -291,7 +289,6 @@
 	c->seq = m->seq;
 	c->sent = false;
 	c->timed_out = false;
-	c->begun = daemon_now();
 	c->req = evhttp_request_new(on_done, c);
 	evhttp_request_set_error_cb(c->req, on_error);
 	add_headers(t, c->req, f);
