--- a/t/overload.cc
+++ b/t/overload.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <sstream>
 
 #include "t/overload.h"
@@ -84,6 +85,7 @@
 	unsigned long class_whole[IMPORTANCE_COUNT] = {};
 	unsigned long whole = 0, whole_runs = 0, asked_inside = 0;
 	unsigned long offered = 0;
+	std::set<Call *> open; /* calls that have no outcome yet */
 	Outcome out;
 };
 
@@ -212,6 +214,7 @@
 		p.class_asked[c->kind]++;
 		p.class_whole[c->kind] += whole;
 	}
+	p.open.erase(c);
 	delete c;
 }
 
@@ -295,6 +298,8 @@
 	}
 	Call *c = new Call();
 
+	a->play->open.insert(c);
+
 	n = replay_rng(r) % 10;
 	c->play = a->play;
 	c->org = &o;
@@ -442,5 +447,7 @@
 	replay_run(p.r, END_US);
 	measure(p);
 	replay_destroy(p.r);
+	for (Call *c : p.open)
+		delete c;
 	return p.out;
 }
