build: put everything into target/

Cause: the platform builds a clean checkout and takes programs from target/ only; make built into build/. Ruled out: a second output folder for the platform, which would be a second build to keep right.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # cranberryway: "make" builds both programs, "make check" runs every test.
 #
 # SAN=1 builds with the address and undefined behaviour sanitizers, into
-# build-asan/.
+# target-asan/.
 
 # V=1 shows the commands.
 ifneq ($(V),1)
@@ -11,14 +11,14 @@
 CC	?= gcc
 CXX	?= g++
 SAN	?= 0
-LIBS	= libevent evhtp libprotobuf-c glib-2.0 libsodium inih libxxhash libbsd
+LIBS	= libevent evhtp libprotobuf-c glib-2.0 libsodium inih libxxhash libbsd jansson
 
 ifeq ($(SAN),1)
-B	= build-asan
+B	= target-asan
 SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
 OPT	= -O1
 else
-B	= build
+B	= target
 OPT	= -O2
 endif
 
@@ -26,7 +26,7 @@
 CPPFLAGS += -I. -D_GNU_SOURCE $(shell pkg-config --cflags $(LIBS))
 CFLAGS	+= -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS)
 CXXFLAGS += -std=gnu++17 -g $(OPT) $(WARN) -Wno-missing-field-initializers $(SANFLAGS)
-LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lm
+LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
 LDFLAGS	+= $(SANFLAGS)
 
 CORE	= attempt balance bucket catalog confstate control counters entry explain fence grant group guard hash \
@@ -94,7 +94,7 @@
 	! grep -nE '#include <(sys/socket|sys/stat|netinet|arpa|event2|evhtp|fcntl|pthread|unistd|time|sys/time|poll|signal)[./]' core/*.c core/*.h
 
 clean:
-	rm -rf build build-asan
+	rm -rf target target-asan
 
 .PHONY: all standins tests benches check format check-format check-tidy check-core proto clean
 .SECONDARY:
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -10,7 +10,7 @@
 # Ports: PORT_BASE + 10 * NUMBER + 0 link, 1 callers, 2 operators, 3 target.
 
 PORT_BASE=${PORT_BASE:-17000}
-B=${B:-build}
+B=${B:-target}
 PIDS=
 
 fleet_init () {
