--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,10 @@
 	  tree types verdict
 WIRE	= context frame_decode frame_encode httpmap link.pb-c
 CONFIG	= ini settings text
-DAEMON	= decide front link log main operators platform target task
+DAEMON	= announce decide dialect dialect_native front http_client \
+	  http_message http_server link log main operators platform probe \
+	  rows_native stream target task
+PLATFORM = headers instances manifest table
 CLI	= cranberryway lines request builtin/check builtin/diff \
 	  builtin/drain builtin/explain builtin/help builtin/key \
 	  builtin/log builtin/show builtin/status builtin/submit
@@ -46,6 +49,9 @@
 WIRE_O	= $(WIRE:%=$(B)/wire/%.o)
 CONFIG_O = $(CONFIG:%=$(B)/config/%.o)
 DAEMON_O = $(DAEMON:%=$(B)/daemon/%.o)
+PLATFORM_O = $(PLATFORM:%=$(B)/platform/%.o)
+# Everything of the daemon but its main.
+DAEMON_T_O = $(filter-out $(B)/daemon/main.o,$(DAEMON_O))
 CLI_O	= $(CLI:%=$(B)/cli/%.o)
 LIB_O	= $(CORE_O) $(WIRE_O) $(CONFIG_O)
 
@@ -54,13 +60,13 @@
 tests: $(TESTS:%=$(B)/%)
 benches: $(BENCH:%=$(B)/%)
 
-$(B)/cranberrywayd: $(DAEMON_O) $(LIB_O)
+$(B)/cranberrywayd: $(DAEMON_O) $(PLATFORM_O) $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/cranberryway: $(CLI_O) $(B)/daemon/log.o $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/standin-%: $(B)/t/standin-%.o $(B)/t/standin.o $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
-$(B)/test-%: $(B)/t/test-%.o $(B)/t/replay.o $(B)/t/overload.o $(B)/cli/lines.o $(B)/daemon/task.o $(LIB_O)
+$(B)/test-%: $(B)/t/test-%.o $(B)/t/replay.o $(B)/t/overload.o $(B)/cli/lines.o $(DAEMON_T_O) $(PLATFORM_O) $(LIB_O)
 	$(Q)$(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lgtest -lgtest_main -lpthread
 $(B)/bench-%: $(B)/bench/bench-%.o $(B)/t/replay.o $(LIB_O)
 	$(Q)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -86,7 +92,7 @@
 	clang-format -i $(SOURCES)
 check-format:
 	clang-format --dry-run -Werror $(SOURCES)
-TIDY_SOURCES = $(shell git ls-files 'core/*.c' 'wire/*.c' 'config/*.c' 'daemon/*.c' 'cli/*.c' | grep -v pb-c)
+TIDY_SOURCES = $(shell git ls-files 'core/*.c' 'wire/*.c' 'config/*.c' 'daemon/*.c' 'platform/*.c' 'cli/*.c' | grep -v pb-c)
 check-tidy:
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' sh
 # The core does no input or output, and knows no clock or thread.
--- a/config/settings.c
+++ b/config/settings.c
@@ -22,7 +22,7 @@
 	size_t offset; /* in struct settings */
 	bool required;
 	uint64_t def, min, max; /* for numbers */
-	const char *text_def; /* for names */
+	const char *text_def; /* for names and paths */
 	const char *unit;
 	const char *meaning;
 };
@@ -32,8 +32,25 @@
 static const struct setting table[] = {
     {"datacentre", SETTING_NAME, AT(datacentre), true, 0, 0, 0, "", "name",
 	"the data centre that this host stands in"},
-    {"secret-file", SETTING_PATH, AT(secret_file), true, 0, 0, 0, "", "path",
-	"file with the fleet's secret, at least 32 bytes"},
+    {"dialect", SETTING_NAME, AT(dialect), false, 0, 0, 0, "native", "name",
+	"how callers, targets and the platform are spoken to: native or "
+	"platform"},
+    {"secret-file", SETTING_PATH, AT(secret_file), false, 0, 0, 0, "", "path",
+	"file with the fleet's secret, at least 32 bytes; native needs it"},
+    {"service", SETTING_NAME, AT(service), false, 0, 0, 0, "", "name",
+	"the service of this host's target"},
+    {"domain", SETTING_NAME, AT(domain), false, 0, 0, 0, "", "name",
+	"the daemons of a domain share rates; the data centre unless set"},
+    {"announce", SETTING_ADDR, AT(announce), false, 0, 0, 0, "", "ip:port",
+	"where the local target announces itself; else at operators"},
+    {"ready", SETTING_ADDR, AT(ready), false, 0, 0, 0, "", "ip:port",
+	"where it is asked whether callers may be sent here"},
+    {"ready-path", SETTING_PATH, AT(ready_path), false, 0, 0, 0, "/ready",
+	"path", "the path of that request"},
+    {"metrics", SETTING_ADDR, AT(metrics), false, 0, 0, 0, "", "ip:port",
+	"where /metrics is read"},
+    {"target", SETTING_ADDR, AT(target), false, 0, 0, 0, "", "ip:port",
+	"the local target; else 127.0.0.1 and the port that it announces"},
     {"link", SETTING_ADDR, AT(link), true, 0, 0, 0, "", "ip:port",
 	"where other daemons reach this one"},
     {"callers", SETTING_ADDR, AT(callers), true, 0, 0, 0, "", "ip:port",
@@ -66,6 +83,15 @@
 	"s", "a caller's connection that is silent is closed"},
     {"platform-timeout-ms", SETTING_NUMBER, AT(platform_timeout_ms), false,
 	1000, 10, 60000, "", "ms", "wait for an answer of the platform"},
+    {"max-idle", SETTING_NUMBER, AT(max_idle), false, 64, 0, 10000, "",
+	"connections", "connections to the target kept without a call"},
+    {"announce-silent-ms", SETTING_NUMBER, AT(announce_silent_ms), false, 0, 0,
+	600000, "", "ms", "a target silent for so long is out; 0: never"},
+    {"key-revocation-ms", SETTING_NUMBER, AT(key_revocation_ms), false, 0, 0,
+	600000, "", "ms",
+	"a withdrawn key is refused after so long; 0: no bound"},
+    {"headroom-percent", SETTING_NUMBER, AT(headroom_percent), false, 0, 0, 90,
+	"", "percent", "part of the target's slots that is left free"},
     {"balancer", SETTING_NAME, AT(balancer), false, 0, 0, 0, "two-choices",
 	"name", "choice of target: two-choices or random"},
     {"limiter", SETTING_NAME, AT(limiter), false, 0, 0, 0, "slots", "name",
@@ -121,6 +147,9 @@
 		else if (table[i].kind == SETTING_NAME)
 			name_copy(
 			    field(s, &table[i]), table[i].text_def, NAME_LEN);
+		else if (table[i].kind == SETTING_PATH)
+			name_copy(field(s, &table[i]), table[i].text_def,
+			    SETTINGS_PATH_LEN);
 	}
 	return s;
 }
--- a/config/settings.h
+++ b/config/settings.h
@@ -18,11 +18,19 @@
 
 struct settings {
 	char datacentre[NAME_LEN];
-	char secret_file[SETTINGS_PATH_LEN];
+	char secret_file[SETTINGS_PATH_LEN]; /* empty: links are open */
+	char dialect[NAME_LEN];
+	char service[NAME_LEN]; /* of this host; empty: as announced */
+	char domain[NAME_LEN]; /* whose daemons share rates; empty: the dc */
+	char ready_path[SETTINGS_PATH_LEN];
 	struct addr link; /* where other daemons reach this one */
 	struct addr callers; /* where callers reach it */
 	struct addr operators; /* where operators reach it */
 	struct addr platform; /* the platform's table service */
+	struct addr announce; /* where the target announces itself; unset: 0 */
+	struct addr ready; /* where readiness is asked; unset: 0 */
+	struct addr metrics; /* where metrics are read; unset: 0 */
+	struct addr target; /* the local target; unset: as it announces */
 	struct addr peers[SETTINGS_MAX_PEERS];
 	int npeers;
 	uint64_t max_calls;
@@ -36,6 +44,10 @@
 	uint64_t max_deadline_ms;
 	uint64_t caller_idle_s;
 	uint64_t platform_timeout_ms;
+	uint64_t max_idle;
+	uint64_t announce_silent_ms;
+	uint64_t key_revocation_ms;
+	uint64_t headroom_percent;
 	char balancer[NAME_LEN];
 	char limiter[NAME_LEN];
 	char shedder[NAME_LEN];
--- a/core/attempt.c
+++ b/core/attempt.c
@@ -14,6 +14,7 @@
 #define FATE_AGAIN_US (100 * MSEC_US) /* between two askings */
 #define AVOID_US (1 * SEC_US) /* a failed target is tried last */
 #define PROBE_ONE_IN 20 /* calls sent in spite of a threshold */
+#define MAX_FORWARDS 4 /* daemons that one call is sent to, at most */
 
 void
 attempt_clear(struct node *n, struct entry_call *c)
@@ -80,6 +81,7 @@
 	msg = msg_emit(out, MSG_FORWARD, c->target, c->seq);
 	f = &msg->u.forward;
 	name_copy(f->service, c->service, sizeof(f->service));
+	name_copy(f->caller, n->setup.service, sizeof(f->caller));
 	name_copy(f->id, c->id, sizeof(f->id));
 	f->idempotent = c->idempotent;
 	f->incarnation = m->record.incarnation;
@@ -107,7 +109,7 @@
 		entry_fail(n, c, VERDICT_NOT_RUN, REASON_DEADLINE, now, out);
 		return;
 	}
-	if (c->idempotent)
+	if (c->idempotent || n->setup.guard->any_member)
 		m = n->setup.balancer->choose(g, &c->balance, &n->rng, now);
 	else
 		m = choose_owner(c, g, now, &f);
@@ -118,6 +120,9 @@
 		return;
 	}
 	if (m == NULL) {
+		/* Nobody is left to try: the last failure tells why. */
+		if (c->failure.reason != REASON_NONE)
+			f = c->failure;
 		entry_fail(n, c, f.verdict, f.reason, now, out);
 		return;
 	}
@@ -156,9 +161,29 @@
 		b->ntried++;
 }
 
+/* Whether this daemon may try again at all, whatever it costs. */
+static bool
+may_try_again(const struct entry_call *c, struct failure f)
+{
+	return reason_may_pass(f.reason) &&
+	       verdict_may_retry(f.verdict, c->idempotent) &&
+	       (c->max_targets == 0 || c->reached < c->max_targets);
+}
+
+/*
+ * A refusal by the daemon beside the target has cost the target nothing, so
+ * that another one may be asked at once and without drawing on any budget.
+ */
+static bool
+is_free_retry(const struct node *n, const struct entry_call *c, bool reached)
+{
+	return n->setup.guard->any_member && !reached &&
+	       c->balance.ntried < MAX_FORWARDS;
+}
+
 /* A try has failed and is over: try again or tell the caller. */
 static void
-try_failed(struct node *n, struct entry_call *c, struct failure f,
+try_failed(struct node *n, struct entry_call *c, struct failure f, bool reached,
     struct instant now, struct msg_list *out)
 {
 	uint64_t pause;
@@ -167,12 +192,19 @@
 	remember_tried(c);
 	if (f.verdict != VERDICT_NOT_RUN)
 		c->doubt = true;
-	if (!reason_may_pass(f.reason) ||
-	    !verdict_may_retry(f.verdict, c->idempotent) || c->allowance == 0 ||
-	    !n->setup.retrier->take(&n->budget)) {
+	if (reached)
+		c->reached++;
+	if (may_try_again(c, f) && is_free_retry(n, c, reached)) {
+		c->failure = f;
+		attempt_next(n, c, now, out);
+		return;
+	}
+	if (!may_try_again(c, f) || c->allowance == 0 ||
+	    !n->setup.retrier->take(&membership_group(n, c->service)->budget)) {
 		entry_fail(n, c, f.verdict, f.reason, now, out);
 		return;
 	}
+	c->failure = f;
 	pause = retry_backoff_us(c->retries, &n->rng);
 	if (now.mono_us + pause >= c->deadline_us) {
 		entry_fail(n, c, f.verdict, f.reason, now, out);
@@ -199,6 +231,7 @@
 	m->threshold = r->threshold;
 	m->load = r->load;
 	m->heard_us = now.mono_us;
+	m->unreachable = false;
 	if (r->leaving && m->record.state == MEMBER_ALIVE && !m->self) {
 		m->record.state = MEMBER_LEAVING;
 		m->record.ended_ms = now.wall_ms + GROUP_LEAVE_MS;
@@ -231,7 +264,7 @@
 	if (r->failure.reason == REASON_NONE)
 		r->failure =
 		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED);
-	try_failed(n, c, r->failure, now, out);
+	try_failed(n, c, r->failure, r->reached, now, out);
 }
 
 void
@@ -263,7 +296,8 @@
 	switch (msg->u.fate.state) {
 	case FATE_TOMBSTONE:
 		try_failed(n, c,
-		    failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST), now, out);
+		    failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST), false, now,
+		    out);
 		break;
 	case FATE_RUNNING:
 	case FATE_RAN:
@@ -272,8 +306,8 @@
 		break;
 	default:
 		try_failed(n, c,
-		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST), now,
-		    out);
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_LINK_LOST), true,
+		    now, out);
 		break;
 	}
 }
@@ -291,13 +325,15 @@
 		return;
 	if (sent && !c->idempotent) {
 		c->ask_until_us = now.mono_us + FATE_WAIT_US;
+		if (c->ask_until_us > c->deadline_us)
+			c->ask_until_us = c->deadline_us;
 		attempt_ask_fate(n, c, now, out);
 		return;
 	}
 	try_failed(n, c,
 	    failure_make(sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN,
 		REASON_LINK_LOST),
-	    now, out);
+	    sent, now, out);
 }
 
 void
--- a/core/balance.c
+++ b/core/balance.c
@@ -42,7 +42,7 @@
 member_tier(const struct group *g, const struct member *m,
     const struct balance_call *c, struct instant now)
 {
-	if (m->avoid_us > now.mono_us)
+	if (m->unreachable || m->avoid_us > now.mono_us)
 		return TIER_AVOIDED;
 	if (threshold_refuses(m->threshold, c->importance, c->level))
 		return TIER_REFUSING;
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -26,7 +26,9 @@
 static int
 route_cmp(struct route *a, struct route *b)
 {
-	return strcmp(a->prefix, b->prefix);
+	int ret = strcmp(a->host, b->host);
+
+	return ret != 0 ? ret : strcmp(a->prefix, b->prefix);
 }
 
 RB_GENERATE(service_tree, service, entry, service_cmp);
@@ -58,6 +60,18 @@
 	free(s);
 }
 
+static void
+route_destroy(struct route *r)
+{
+	struct route_part *p;
+
+	while ((p = TAILQ_FIRST(&r->parts)) != NULL) {
+		TAILQ_REMOVE(&r->parts, p, entry);
+		free(p);
+	}
+	free(r);
+}
+
 void
 catalog_destroy(struct catalog *c)
 {
@@ -82,7 +96,7 @@
 	}
 	while ((r = RB_ROOT(&c->routes)) != NULL) {
 		RB_REMOVE(route_tree, &c->routes, r);
-		free(r);
+		route_destroy(r);
 	}
 	free(c);
 }
@@ -116,9 +130,17 @@
 
 struct route *
 catalog_add_route(struct catalog *c, const char *prefix)
+{
+	return catalog_add_host_route(c, "", prefix);
+}
+
+struct route *
+catalog_add_host_route(struct catalog *c, const char *host, const char *prefix)
 {
 	struct route *r = xcalloc(1, sizeof(*r));
 
+	TAILQ_INIT(&r->parts);
+	name_copy(r->host, host, sizeof(r->host));
 	name_copy(r->prefix, prefix, sizeof(r->prefix));
 	r->importance = IMPORTANCE_NORMAL;
 	if (RB_INSERT(route_tree, &c->routes, r) != NULL) {
@@ -179,22 +201,65 @@
 	return k != NULL ? k->org : NULL;
 }
 
+void
+route_add_part(struct route *r, struct service *service, double weight)
+{
+	struct route_part *p = xcalloc(1, sizeof(*p));
+
+	p->service = service;
+	p->weight = weight;
+	TAILQ_INSERT_TAIL(&r->parts, p, entry);
+}
+
+struct service *
+route_service(const struct route *r, double draw)
+{
+	const struct route_part *p, *last = NULL;
+	double sum = 0;
+
+	if (r->service != NULL)
+		return r->service;
+	TAILQ_FOREACH (p, &r->parts, entry)
+		sum += p->weight;
+	draw *= sum;
+	TAILQ_FOREACH (p, &r->parts, entry) {
+		if (p->weight <= 0)
+			continue;
+		last = p;
+		if (draw < p->weight)
+			break;
+		draw -= p->weight;
+	}
+	return last != NULL ? last->service : NULL;
+}
+
 struct route *
 catalog_route(struct catalog *c, const char *path)
+{
+	return catalog_host_route(c, "", path);
+}
+
+struct route *
+catalog_host_route(struct catalog *c, const char *host, const char *path)
 {
 	struct route want, *r;
-	char *end;
+	size_t len;
 
+	name_copy(want.host, host, sizeof(want.host));
 	name_copy(want.prefix, path, sizeof(want.prefix));
 	want.prefix[strcspn(want.prefix, "?")] = '\0';
+	len = strlen(want.prefix);
+	/* Cut at each slash: first behind it, then before it. */
 	for (;;) {
 		r = RB_FIND(route_tree, &c->routes, &want);
-		if (r != NULL)
+		if (r != NULL || len <= 1)
 			return r;
-		end = strrchr(want.prefix, '/');
-		if (end == NULL || strcmp(want.prefix, "/") == 0)
-			return NULL;
-		end[end == want.prefix ? 1 : 0] = '\0';
+		if (want.prefix[len - 1] == '/')
+			len--;
+		else
+			while (len > 0 && want.prefix[len - 1] != '/')
+				len--;
+		want.prefix[len] = '\0';
 	}
 }
 
@@ -221,5 +286,7 @@
 		if (strcmp(c->dcs[i].name, dc) == 0)
 			own = c->dcs[i].weight;
 	}
+	if (c->ndcs == 0)
+		return 1;
 	return sum > 0 ? own / sum : 0;
 }
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -19,7 +19,7 @@
 #include <bsd/sys/queue.h>
 #include <bsd/sys/tree.h>
 
-#include "core/types.h"
+#include "core/msg.h"
 
 #define CATALOG_MAX_DCS 32 /* data centres in one configuration */
 
@@ -51,15 +51,31 @@
 struct organisation {
 	RB_ENTRY(organisation) entry;
 	char name[NAME_LEN];
-	double rate; /* calls a second over the whole fleet */
+	bool has_importance; /* its calls have this one, not the route's */
+	enum importance importance;
+	double rate; /* calls a second over the whole fleet; 0: no limit */
 	double burst; /* calls over the whole fleet */
 	int line;
 };
 
+/* A service that takes a part of a route's calls. */
+struct route_part {
+	TAILQ_ENTRY(route_part) entry;
+	struct service *service;
+	double weight;
+};
+
+TAILQ_HEAD(route_parts, route_part);
+
 struct route {
 	RB_ENTRY(route) entry;
+	char host[HOST_LEN]; /* empty: any */
 	char prefix[PATH_LEN];
-	struct service *service;
+	struct service *service; /* NULL if parts share the calls */
+	struct route_parts parts;
+	unsigned int max_targets; /* that one call may reach; 0: no bound */
+	uint64_t timeout_us; /* a call is answered by then; 0: no bound */
+	uint64_t goal_us; /* an answer is worth most until then; 0: none */
 	enum importance importance;
 	bool idempotent;
 	bool open; /* no key needed */
@@ -84,6 +100,7 @@
 	struct route_tree routes;
 	struct datacentre dcs[CATALOG_MAX_DCS];
 	int ndcs;
+	struct caller_limits limits;
 	enum weighing weighing;
 	unsigned int retries; /* extra tries that a call tree may use */
 };
@@ -101,6 +118,9 @@
 struct organisation *catalog_add_organisation(
     struct catalog *, const char *name);
 struct route *catalog_add_route(struct catalog *, const char *prefix);
+struct route *catalog_add_host_route(
+    struct catalog *, const char *host, const char *prefix);
+void route_add_part(struct route *, struct service *, double weight);
 struct api_key *catalog_add_key(
     struct catalog *, struct organisation *, const uint8_t *hash);
 void service_add_dependency(struct service *, struct service *on);
@@ -109,10 +129,21 @@
 struct organisation *catalog_organisation(struct catalog *, const char *name);
 /* The organisation that a key's hash belongs to, in constant time a key. */
 struct organisation *catalog_key_owner(struct catalog *, const uint8_t *hash);
-/* The route with the longest prefix of whole path segments, or NULL. */
+/*
+ * The route with the longest prefix of whole path segments, or NULL.  A
+ * prefix that ends in a slash matches only paths with that slash.
+ */
 struct route *catalog_route(struct catalog *, const char *path);
+/* The same among the routes of a host. */
+struct route *catalog_host_route(
+    struct catalog *, const char *host, const char *path);
+/* The service of one call of a route; draw is a number in [0, 1). */
+struct service *route_service(const struct route *, double draw);
 bool service_depends_on(const struct service *, const struct service *);
-/* The part of a rate that a data centre holds, from 0 to 1. */
+/*
+ * The part of a rate that a data centre holds, from 0 to 1; all of it where
+ * the configuration names no data centres.
+ */
 double catalog_dc_part(const struct catalog *, const char *dc);
 
 #endif
--- a/core/confstate.c
+++ b/core/confstate.c
@@ -66,26 +66,38 @@
 	return CONF_ADOPTED;
 }
 
+void
+confstate_confirm(struct confstate *cs, uint64_t age_ms, struct instant now)
+{
+	uint64_t age_us = age_ms * MSEC_US;
+
+	if (age_us <= now.mono_us && now.mono_us - age_us > cs->confirmed_us)
+		cs->confirmed_us = now.mono_us - age_us;
+}
+
 enum conf_verdict
 confstate_offer(
     struct confstate *cs, const struct config *c, struct instant now)
 {
-	uint64_t age_us = c->confirmed_ms * MSEC_US;
 	struct buffer text = {NULL, 0};
 	enum conf_verdict ret;
 
 	if (c->version < cs->version)
 		return CONF_OLD;
-	if (age_us <= now.mono_us && now.mono_us - age_us > cs->confirmed_us)
-		cs->confirmed_us = now.mono_us - age_us;
-	if (c->version == cs->version)
+	if (c->version == cs->version) {
+		confstate_confirm(cs, c->confirmed_ms, now);
 		return CONF_SAME;
+	}
 	if (!build_text(cs, c, &text))
 		return CONF_NEED_WHOLE;
 	if (confstate_digest(text.data, text.len) != c->digest)
 		ret = c->base != 0 ? CONF_NEED_WHOLE : CONF_REFUSED;
 	else
 		ret = adopt(cs, c, &text);
+	/* Word of a version that is not in force here proves nothing of ours.
+	 */
+	if (ret == CONF_ADOPTED)
+		confstate_confirm(cs, c->confirmed_ms, now);
 	buffer_release(&text);
 	return ret;
 }
--- a/core/confstate.h
+++ b/core/confstate.h
@@ -49,6 +49,8 @@
 /* Fill in the shortest message that brings a version up to ours. */
 void confstate_fill(
     const struct confstate *, struct config *, uint64_t have_version);
+/* The version in force was the newest one so long ago. */
+void confstate_confirm(struct confstate *, uint64_t age_ms, struct instant now);
 uint64_t confstate_digest(const char *text, size_t len);
 
 #endif
--- a/core/control.c
+++ b/core/control.c
@@ -11,13 +11,18 @@
 
 #define CLAIM_AGAIN_US (2 * SEC_US)
 #define SETTLE_US (QUOTA_TTL_US + 2 * QUOTA_MARGIN_US)
-#define STALE_US (20 * SEC_US)
+#define STALE_US (20 * SEC_US) /* unconfirmed for so long: read ourselves */
+#define CHILD_STALE_US (2500 * MSEC_US) /* the same for children of the root   \
+					 */
+#define FOLLOW_MS 1000 /* a read waits so long for a new version */
+#define FOLLOW_LOST_US (4 * SEC_US) /* no answer by then: ask again */
+#define ROOT_READ_US (2 * SEC_US) /* between looks whether we are the root */
 #define FREEZE_US (2 * SEC_US) /* a gap between ticks that is a freeze */
 
 static void
 root_key(struct node *n, char *key, size_t len)
 {
-	snprintf(key, len, "control/%s", n->setup.dc);
+	snprintf(key, len, "control/%s", n->setup.domain);
 }
 
 static void
@@ -29,7 +34,7 @@
 
 	if (c == NULL)
 		return;
-	part = catalog_dc_part(c, n->setup.dc);
+	part = catalog_dc_part(c, n->setup.domain);
 	RB_FOREACH (o, organisation_tree, &c->orgs)
 		quota_set_total(
 		    n->quota, o->name, o->rate * part, o->burst * part);
@@ -187,12 +192,19 @@
 	struct config c;
 
 	memset(&c, 0, sizeof(c));
-	n->conf.confirmed_us = now.mono_us;
-	if (row->status != ROW_FOUND || row->version <= n->conf.version)
+	n->tree.following = false;
+	n->tree.since = row->since;
+	if (row->status != ROW_FOUND || row->version <= n->conf.version) {
+		/* The answer proves what held when the question was asked. */
+		confstate_confirm(
+		    &n->conf, (now.mono_us - row->asked_us) / MSEC_US, now);
 		return;
+	}
+	n->tree.follow_us = 0;
 	c.version = row->version;
 	c.digest = confstate_digest(row->value.data, row->value.len);
 	c.text = row->value;
+	c.confirmed_ms = (now.mono_us - row->asked_us) / MSEC_US;
 	offer(n, &c, n->setup.self, now, out);
 }
 
@@ -220,9 +232,16 @@
 
 	if (row->status == ROW_UNKNOWN) {
 		n->tree.failed_us = now.mono_us;
+		n->tree.following = false;
 		n->tree.handing = false;
 		return;
 	}
+	if (row->status == ROW_HISTORY_GONE) {
+		n->tree.following = false;
+		n->tree.follow_us = 0;
+		n->tree.since = 0;
+		return;
+	}
 	if (strcmp(row->key, "config") == 0) {
 		if (row->status == ROW_FOUND || row->status == ROW_ABSENT)
 			config_row(n, row, now, out);
@@ -248,6 +267,9 @@
 
 	if (ask->epoch > t->epoch)
 		t->read_us = 0;
+	/* A child that reads for itself confirms what both have. */
+	if (ask->version == n->conf.version)
+		confstate_confirm(&n->conf, ask->confirmed_ms, now);
 	admitted = tree_admit(
 	    t, msg->peer, ask->version, now.mono_us, &n->rng, &redirect);
 	if (admitted)
@@ -284,13 +306,15 @@
 }
 
 static void
-emit_config_ask(
-    struct node *n, struct addr to, uint64_t version, struct msg_list *out)
+emit_config_ask(struct node *n, struct addr to, uint64_t version,
+    struct instant now, struct msg_list *out)
 {
 	struct msg *m = msg_emit(out, MSG_CONFIG_ASK, to, node_seq(n));
 
 	m->u.config.version = version;
 	m->u.config.epoch = n->tree.epoch;
+	m->u.config.confirmed_ms =
+	    (now.mono_us - n->conf.confirmed_us) / MSEC_US;
 	m->u.config.incarnation = n->setup.incarnation;
 }
 
@@ -308,7 +332,7 @@
 	if (child != NULL && child->version < c->version)
 		child->version = c->version;
 	if (offer(n, c, msg->peer, now, out) == CONF_NEED_WHOLE)
-		emit_config_ask(n, msg->peer, 0, out);
+		emit_config_ask(n, msg->peer, 0, now, out);
 }
 
 void
@@ -424,34 +448,85 @@
 	node_write_row(n, key, n->tree.epoch, value, strlen(value), out);
 }
 
+/*
+ * Whether this daemon reads for itself.  One whose parent still hears from
+ * the platform leaves it to the parent.
+ */
+static bool
+is_reader(struct node *n, struct instant now)
+{
+	struct tree *t = &n->tree;
+	uint64_t age = now.mono_us - n->conf.confirmed_us;
+
+	if (t->is_root || !addr_is_set(t->parent) || t->dead_root ||
+	    n->conf.version == 0)
+		return true;
+	return age >
+	       (addr_equal(t->parent, t->root) ? CHILD_STALE_US : STALE_US);
+}
+
+/* One read of the configuration waits at the platform for the next version. */
 static void
-read_platform(struct node *n, struct instant now, struct msg_list *out)
+follow_config(struct node *n, struct instant now, struct msg_list *out)
 {
 	struct tree *t = &n->tree;
-	bool reader = t->is_root || !addr_is_set(t->parent) || t->dead_root ||
-		      addr_equal(t->parent, t->root) || n->conf.version == 0;
-	char key[256];
+	struct msg *m;
 
-	/* One that hears of no confirmation may sit in a cut-off branch. */
-	if (!reader && t->read_us != 0 &&
-	    (now.mono_us - n->conf.confirmed_us < STALE_US ||
-		now.mono_us - t->read_us < STALE_US))
+	if (t->following && now.mono_us - t->follow_us < FOLLOW_LOST_US)
 		return;
+	if (t->follow_us != 0 && now.mono_us - t->follow_us < TREE_READ_US)
+		return;
+	t->following = true;
+	t->follow_us = now.mono_us;
+	node_read_row(n, "config", false, out);
+	m = TAILQ_LAST(out, msg_list);
+	m->u.row.version = n->conf.version;
+	m->u.row.since = t->since;
+	m->u.row.wait_ms = t->since != 0 ? FOLLOW_MS : 0;
+	m->u.row.asked_us = now.mono_us;
+}
+
+static void
+read_root(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+	char key[256];
+
 	if (t->read_us != 0 && now.mono_us - t->read_us < TREE_READ_US)
 		return;
+	if (t->is_root && t->read_us != 0 &&
+	    now.mono_us - t->read_us < ROOT_READ_US)
+		return;
 	t->read_us = now.mono_us;
 	root_key(n, key, sizeof(key));
 	node_read_row(n, key, false, out);
-	node_read_row(n, "config", false, out);
 }
 
 static void
-ask_seeds(struct node *n, struct msg_list *out)
+read_platform(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct tree *t = &n->tree;
+
+	if (is_reader(n, now))
+		follow_config(n, now, out);
+	/* read_us is cleared by word of a later epoch. */
+	if (t->is_root || !addr_is_set(t->parent) || t->dead_root ||
+	    t->read_us == 0)
+		read_root(n, now, out);
+}
+
+static void
+ask_seeds(struct node *n, struct instant now, struct msg_list *out)
 {
 	int i;
 
 	for (i = 0; i < n->setup.nseeds; i++)
-		emit_config_ask(n, n->seeds[i], n->conf.version, out);
+		emit_config_ask(n, n->seeds[i], n->conf.version, now, out);
+	for (i = 0; i < MAX_SEEDS; i++) {
+		if (addr_is_set(n->acquaintances[i]))
+			emit_config_ask(
+			    n, n->acquaintances[i], n->conf.version, now, out);
+	}
 }
 
 static void
@@ -465,7 +540,7 @@
 		if (n->conf.version == 0 &&
 		    now.mono_us - t->asked_us >= TREE_ASK_US) {
 			t->asked_us = now.mono_us;
-			ask_seeds(n, out);
+			ask_seeds(n, now, out);
 		}
 		return;
 	}
@@ -474,7 +549,7 @@
 	if (now.mono_us - t->asked_us < TREE_ASK_US)
 		return;
 	t->asked_us = now.mono_us;
-	emit_config_ask(n, t->parent, n->conf.version, out);
+	emit_config_ask(n, t->parent, n->conf.version, now, out);
 	control_shortage(n, now, out);
 }
 
--- a/core/counters.c
+++ b/core/counters.c
@@ -24,6 +24,8 @@
     [COUNT_PLATFORM_WRITES] = "platform_writes",
     [COUNT_PLATFORM_UNKNOWN] = "platform_answers_lost",
     [COUNT_CONTROL_MESSAGES] = "control_messages_sent",
+    [COUNT_OLD_ANNOUNCEMENTS] = "old_announcements",
+    [COUNT_TARGETS_SILENT] = "targets_silent",
 };
 
 const char *
--- a/core/entry.c
+++ b/core/entry.c
@@ -136,6 +136,9 @@
 			name_copy(
 			    c->context.org, org->name, sizeof(c->context.org));
 			c->keyed = true;
+			c->metered = org->rate > 0;
+			if (org->has_importance)
+				c->context.importance = org->importance;
 		}
 		return true;
 	}
@@ -184,6 +187,8 @@
 		left = c->call.context.deadline_ms * MSEC_US;
 	if (left > n->setup.max_deadline_us)
 		left = n->setup.max_deadline_us;
+	if (c->timeout_us != 0 && left > c->timeout_us)
+		left = c->timeout_us;
 	end = now.mono_us + left;
 	return j != NULL && j->deadline_us < end ? j->deadline_us : end;
 }
@@ -214,6 +219,8 @@
 		entry_make_id(n, c, now);
 		return true;
 	}
+	if (n->setup.guard->any_member)
+		return true;
 	*f = failure_make(VERDICT_NOT_RUN, REASON_BAD_REQUEST);
 	name_copy(c->id, c->call.id, sizeof(c->id));
 	if (!id_parse(c->id, &c->stamp_ms, c->id_dc, sizeof(c->id_dc)) ||
@@ -226,8 +233,30 @@
 static bool
 is_stale(const struct node *n, const struct route *r, struct instant now)
 {
-	return r->stale_us != 0 &&
-	       now.mono_us - n->conf.confirmed_us > r->stale_us;
+	uint64_t bound = r->stale_us;
+
+	if (!r->open && n->setup.key_proof_us != 0 &&
+	    (bound == 0 || n->setup.key_proof_us < bound))
+		bound = n->setup.key_proof_us;
+	return bound != 0 && now.mono_us - n->conf.confirmed_us > bound;
+}
+
+/* Routes of the named host go before those of any host. */
+static struct route *
+find_route(struct node *n, const struct request *req)
+{
+	struct route *r = NULL;
+
+	if (req->host[0] != '\0')
+		r = catalog_host_route(n->conf.catalog, req->host, req->path);
+	return r != NULL ? r : catalog_route(n->conf.catalog, req->path);
+}
+
+static struct service *
+choose_service(struct node *n, const struct route *r)
+{
+	return route_service(
+	    r, (double)rng_below(&n->rng, UINT32_MAX) / (double)UINT32_MAX);
 }
 
 /* All checks that need no other daemon. */
@@ -235,6 +264,7 @@
 admit(
     struct node *n, struct entry_call *c, struct instant now, struct failure *f)
 {
+	struct service *service;
 	struct route *r;
 
 	*f = failure_make(VERDICT_NOT_RUN, REASON_NO_CONFIG);
@@ -244,23 +274,32 @@
 	if (n->ncalls > n->setup.max_calls)
 		return false;
 	f->reason = REASON_BAD_REQUEST;
-	r = catalog_route(n->conf.catalog, c->call.request.path);
-	if (r == NULL || c->call.context_bad)
+	if (c->call.context_bad)
+		return false;
+	f->reason = REASON_NO_ROUTE;
+	r = find_route(n, &c->call.request);
+	service = r != NULL ? choose_service(n, r) : NULL;
+	if (service == NULL)
 		return false;
 	f->reason = REASON_STALE_CONFIG;
 	if (is_stale(n, r, now))
 		return false;
-	name_copy(c->service, r->service->name, sizeof(c->service));
+	name_copy(c->service, service->name, sizeof(c->service));
+	c->max_targets = r->max_targets;
+	c->timeout_us = r->timeout_us;
+	c->goal_us = r->goal_us;
 	name_copy(c->route, r->prefix, sizeof(c->route));
 	c->context.importance = r->importance;
 	c->allowance =
 	    n->setup.retrier->begin(false, 0, n->conf.catalog->retries);
 	c->idempotent = r->idempotent || is_safe_method(c->call.request.method);
-	if (c->call.has_context ? !check_context(n, c, r->service, &f->reason)
+	if (c->call.has_context ? !check_context(n, c, service, &f->reason)
 				: !check_key(n, c, r, &f->reason))
 		return false;
-	if (r->importance > c->context.importance)
+	if (c->job != 0 && r->importance > c->context.importance)
 		c->context.importance = r->importance;
+	if (n->setup.guard->any_member && c->call.id[0] != '\0')
+		name_copy(c->id, c->call.id, sizeof(c->id));
 	return c->idempotent || take_id(n, c, now, f);
 }
 
@@ -287,9 +326,9 @@
 pay(struct node *n, struct entry_call *c, struct instant now,
     struct msg_list *out)
 {
-	if (!c->keyed ||
+	if (!c->metered ||
 	    quota_take(n->quota, c->context.org, now) == QUOTA_TAKEN) {
-		c->paid = c->keyed;
+		c->paid = c->metered;
 		attempt_next(n, c, now, out);
 		return;
 	}
@@ -320,7 +359,7 @@
 	c->balance.importance = c->context.importance;
 	c->balance.level = c->context.level;
 	c->deadline_us = call_deadline(n, c, now);
-	retry_budget_note(&n->budget);
+	retry_budget_note(&membership_group(n, c->service)->budget);
 	pay(n, c, now, out);
 }
 
--- a/core/group.c
+++ b/core/group.c
@@ -24,6 +24,7 @@
 	struct group *g = xcalloc(1, sizeof(*g));
 
 	RB_INIT(&g->members);
+	retry_budget_init(&g->budget);
 	name_copy(g->service, service, sizeof(g->service));
 	name_copy(g->dc, dc, sizeof(g->dc));
 	return g;
--- a/core/group.h
+++ b/core/group.h
@@ -27,6 +27,7 @@
 #include <bsd/sys/tree.h>
 
 #include "core/msg.h"
+#include "core/retry.h"
 
 #define GROUP_HEARTBEAT_US (1 * SEC_US)
 #define GROUP_REMOTE_BEAT_US (3 * SEC_US) /* to other data centres */
@@ -48,6 +49,7 @@
 	uint64_t lease_gone; /* the grantor's digest of gone members */
 	uint64_t granted_us; /* we granted it last at */
 	uint64_t avoid_us; /* tried last until then, after a failure */
+	bool unreachable; /* its link broke and nothing came since */
 	uint64_t ended_us;
 	struct threshold threshold;
 	uint32_t load;
@@ -62,6 +64,7 @@
 struct group {
 	RB_ENTRY(group) entry;
 	struct member_tree members;
+	struct retry_budget budget; /* of second tries sent to its targets */
 	struct member *self; /* NULL unless the local target is one */
 	char service[NAME_LEN];
 	char dc[NAME_LEN];
--- a/core/guard.c
+++ b/core/guard.c
@@ -34,11 +34,27 @@
 	return ledger_ask(l, org, id, entry, seq, now, recp);
 }
 
+/* The daemon beside the target is asked only for what was sent to it. */
+static struct owner
+owner_self(struct group *g, const char *dc, const char *id, uint64_t stamp_ms,
+    struct instant now)
+{
+	struct owner o = {OWNER_SELF, g->self};
+
+	(void)dc;
+	(void)id;
+	(void)stamp_ms;
+	(void)now;
+	return o;
+}
+
+const struct id_guard guard_attempt = {
+    "attempt", true, owner_self, ledger_find, ledger_ask};
 const struct id_guard guard_full = {
-    "full", group_owner, ledger_find, ledger_ask};
+    "full", false, group_owner, ledger_find, ledger_ask};
 const struct id_guard guard_without_lease = {
-    "without-lease", owner_by_view, ledger_find, ledger_ask};
+    "without-lease", false, owner_by_view, ledger_find, ledger_ask};
 const struct id_guard guard_without_ledger = {
-    "without-ledger", group_owner, find_nothing, ledger_ask};
+    "without-ledger", false, group_owner, find_nothing, ledger_ask};
 const struct id_guard guard_without_tombstone = {
-    "without-tombstone", group_owner, ledger_find, ask_without_record};
+    "without-tombstone", false, group_owner, ledger_find, ask_without_record};
--- a/core/guard.h
+++ b/core/guard.h
@@ -14,6 +14,7 @@
 
 struct id_guard {
 	const char *name;
+	bool any_member; /* an id is one attempt: nobody owns it */
 	/* Who may run an id, as far as this daemon can know. */
 	struct owner (*owner)(struct group *, const char *dc, const char *id,
 	    uint64_t stamp_ms, struct instant now);
@@ -27,6 +28,11 @@
 };
 
 extern const struct id_guard guard_full;
+/*
+ * An id is one attempt of a caller, made once by the daemon that took it:
+ * any member may run it, and its record only answers what became of it.
+ */
+extern const struct id_guard guard_attempt;
 /* Whoever believes itself the owner runs the id. */
 extern const struct id_guard guard_without_lease;
 /* Second tries are not recognised. */
--- a/core/leave.c
+++ b/core/leave.c
@@ -51,7 +51,8 @@
 	if (!n->target.leaving || n->target.left || n->njobs > 0 ||
 	    now.wall_ms < n->target.leave_ms + LATE_IDS_MS)
 		return;
-	hand_over(n, g, out);
+	if (!n->setup.guard->any_member)
+		hand_over(n, g, out);
 	n->target.left = true;
 	g->self->record.state = MEMBER_LEFT;
 	membership_broadcast(n, g, now, out);
--- a/core/membership.c
+++ b/core/membership.c
@@ -13,8 +13,8 @@
 
 #define ROWS_AGAIN_US (2 * SEC_US) /* between reads of a group's rows */
 #define ROW_AGAIN_US (2 * SEC_US) /* between writes of our own row */
+#define PROBE_US (500 * MSEC_US) /* between asks of one not reached */
 #define UNUSED_US (120 * SEC_US) /* a group nobody calls is dropped */
-#define ANY_VERSION UINT64_MAX
 
 static int
 group_cmp(struct group *a, struct group *b)
@@ -80,6 +80,35 @@
 
 	for (i = 0; i < n->setup.nseeds; i++)
 		emit_ask(n, g, n->seeds[i], now, out);
+	for (i = 0; i < MAX_SEEDS; i++) {
+		if (addr_is_set(n->acquaintances[i]))
+			emit_ask(n, g, n->acquaintances[i], now, out);
+	}
+}
+
+void
+membership_met(struct node *n, struct addr peer)
+{
+	int i;
+
+	for (i = 0; i < MAX_SEEDS; i++) {
+		if (addr_equal(n->acquaintances[i], peer))
+			return;
+	}
+	n->acquaintances[n->nacquaintances++ % MAX_SEEDS] = peer;
+}
+
+void
+membership_link_down(struct node *n, struct addr peer)
+{
+	struct member *m;
+	struct group *g;
+
+	RB_FOREACH (g, group_tree, &n->groups) {
+		m = group_find(g, peer);
+		if (m != NULL)
+			m->unreachable = true;
+	}
 }
 
 void
@@ -128,13 +157,13 @@
 	own_row_key(n, key, sizeof(key));
 	n->target.row_us = now.mono_us;
 	if (n->target.left) {
-		node_write_row(n, key, ANY_VERSION, "", 0, out);
+		node_write_row(n, key, ROW_ANY_VERSION, "", 0, out);
 		return;
 	}
 	snprintf(value, sizeof(value),
 	    "%" PRIu32 " %u %" PRIu64 " %" PRIu64 " %" PRIu32 " %s", r->addr.ip,
 	    r->addr.port, r->incarnation, r->owner_from_ms, r->slots, r->dc);
-	node_write_row(n, key, ANY_VERSION, value, strlen(value), out);
+	node_write_row(n, key, ROW_ANY_VERSION, value, strlen(value), out);
 }
 
 void
@@ -146,6 +175,8 @@
 	memset(&r, 0, sizeof(r));
 	r.addr = n->setup.self;
 	r.incarnation = now.wall_ms;
+	if (r.incarnation <= n->incarnation_floor)
+		r.incarnation = n->incarnation_floor + 1;
 	if (r.incarnation < n->setup.incarnation)
 		r.incarnation = n->setup.incarnation;
 	if (g->self != NULL && r.incarnation <= g->self->record.incarnation)
@@ -167,17 +198,25 @@
 	membership_broadcast(n, g, now, out);
 }
 
+/* A start of the target that is new here. */
 static void
 target_start(struct node *n, const struct announce *a)
 {
 	struct local_target *t = &n->target;
+	double slots;
 
-	memset(t, 0, sizeof(*t));
 	name_copy(t->service, a->service, sizeof(t->service));
+	name_copy(t->id, a->id, sizeof(t->id));
+	t->born_ms = a->born_ms;
 	t->slots = a->slots ? a->slots : 1;
 	t->present = true;
-	t->shed = shed_create(serve_shedder(n), n->setup.max_queue);
-	limit_init(&t->limit, n->setup.limiter, t->slots, t->slots);
+	t->leaving = false;
+	t->left = false;
+	t->silent = false;
+	if (t->shed == NULL)
+		t->shed = shed_create(serve_shedder(n), n->setup.max_queue);
+	slots = t->slots * (1 - n->setup.headroom);
+	limit_init(&t->limit, n->setup.limiter, slots, slots);
 }
 
 void
@@ -185,11 +224,12 @@
 {
 	struct group *g;
 
-	n->draining = true;
 	if (!n->target.present || n->target.leaving)
 		return;
 	n->target.leaving = true;
 	n->target.leave_ms = now.wall_ms + GROUP_LEAVE_MS;
+	if (n->setup.guard->any_member)
+		serve_refuse_waiting(n, REASON_LEAVING, now, out);
 	g = membership_find(n, n->target.service);
 	if (g == NULL || g->self == NULL)
 		return;
@@ -198,24 +238,77 @@
 	membership_broadcast(n, g, now, out);
 }
 
+void
+membership_drain(struct node *n, struct instant now, struct msg_list *out)
+{
+	n->draining = true;
+	membership_leave(n, now, out);
+}
+
+/*
+ * Announcements may come late, and from a start of the target that has
+ * ended: those of one start are ordered by their number, starts by when
+ * they were.
+ */
+static bool
+is_old(const struct local_target *t, const struct announce *a)
+{
+	if (!t->present || a->id[0] == '\0')
+		return false;
+	if (strcmp(a->id, t->id) != 0)
+		return a->born_ms != 0 && a->born_ms < t->born_ms;
+	if (a->born_ms != 0 && a->born_ms != t->born_ms)
+		return a->born_ms < t->born_ms;
+	return a->seq != 0 && a->seq <= t->announce_seq;
+}
+
+static bool
+is_new_start(const struct local_target *t, const struct announce *a)
+{
+	return strcmp(a->id, t->id) != 0 ||
+	       (a->born_ms != 0 && a->born_ms > t->born_ms);
+}
+
+static void
+note_announced(
+    struct local_target *t, const struct announce *a, struct instant now)
+{
+	t->heard_us = now.mono_us;
+	if (a->seq != 0)
+		t->announce_seq = a->seq;
+}
+
 void
 membership_announce(
     struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
 {
 	const struct announce *a = &msg->u.announce;
-	struct group *g;
+	struct local_target *t = &n->target;
 
+	if (is_old(t, a)) {
+		n->counters.values[COUNT_OLD_ANNOUNCEMENTS]++;
+		return;
+	}
 	if (a->leaving) {
-		membership_leave(n, now, out);
+		/* The end of another start says nothing of this one. */
+		if (t->present && is_new_start(t, a))
+			return;
+		note_announced(t, a, now);
+		if (a->daemon_stays)
+			membership_leave(n, now, out);
+		else
+			membership_drain(n, now, out);
+		t->silent = false;
 		return;
 	}
-	if (n->target.present) {
-		/* Announcing again only renews what is known. */
+	if (n->draining)
 		return;
+	if (!t->present || is_new_start(t, a) || t->silent) {
+		t->announce_seq = 0;
+		target_start(n, a);
+		membership_join(n, membership_group(n, a->service), now, out);
 	}
-	target_start(n, a);
-	g = membership_group(n, a->service);
-	membership_join(n, g, now, out);
+	note_announced(t, a, now);
 }
 
 static void
@@ -269,11 +362,17 @@
 
 /* Others hold us for gone: only a new incarnation may own ids again. */
 static bool
-is_accused(struct group *g, const struct member_record *r)
+is_accused(struct node *n, struct group *g, const struct member_record *r)
 {
-	return g->self != NULL && r->state == MEMBER_GONE &&
-	       addr_equal(r->addr, g->self->record.addr) &&
-	       r->incarnation == g->self->record.incarnation;
+	if (g->self == NULL || !addr_equal(r->addr, n->setup.self) ||
+	    r->incarnation < g->self->record.incarnation)
+		return false;
+	/* The calendar went back since an earlier start of this daemon. */
+	if (r->incarnation > g->self->record.incarnation) {
+		n->incarnation_floor = r->incarnation;
+		return true;
+	}
+	return r->state == MEMBER_GONE;
 }
 
 void
@@ -289,7 +388,7 @@
 	if (g == NULL)
 		return;
 	for (i = 0; i < r->count; i++) {
-		if (is_accused(g, &r->records[i]))
+		if (is_accused(n, g, &r->records[i]))
 			accused = true;
 		else if (group_merge(g, &r->records[i], now))
 			changed = true;
@@ -299,6 +398,7 @@
 	m = group_find(g, msg->peer);
 	if (m != NULL) {
 		m->heard_us = now.mono_us;
+		m->unreachable = false;
 		m->threshold = r->threshold;
 		m->load = r->load;
 	}
@@ -328,6 +428,9 @@
 	r.addr.port = port;
 	if (!addr_equal(r.addr, n->setup.self))
 		group_merge(g, &r, now);
+	else if (g->self != NULL && !n->target.left &&
+		 r.incarnation > g->self->record.incarnation)
+		n->incarnation_floor = r.incarnation;
 }
 
 static struct group *
@@ -373,7 +476,10 @@
 		if (p != NULL)
 			p++;
 	}
-	if (g->self != NULL)
+	if (g->self != NULL && !n->target.left &&
+	    n->incarnation_floor > g->self->record.incarnation)
+		membership_join(n, g, now, out);
+	else if (g->self != NULL)
 		membership_broadcast(n, g, now, out);
 	entry_wake(n, now, out);
 }
@@ -398,6 +504,23 @@
 	}
 }
 
+/* What a broken link kept from us is asked for again. */
+static void
+probe_unreachable(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->self || !m->unreachable ||
+		    m->record.state >= MEMBER_LEFT ||
+		    now.mono_us - m->asked_us < PROBE_US)
+			continue;
+		m->asked_us = now.mono_us;
+		emit_ask(n, g, m->record.addr, now, out);
+	}
+}
+
 /* Who only calls a service asks one of its members each second. */
 static void
 poll_one(
@@ -454,17 +577,34 @@
 	leave_finish(n, g, now, out);
 }
 
+/* A target that stopped announcing itself has ended, or can not be asked. */
+static void
+notice_silence(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct local_target *t = &n->target;
+
+	if (n->setup.announce_silent_us == 0 || !t->present || t->leaving ||
+	    now.mono_us - t->heard_us <= n->setup.announce_silent_us)
+		return;
+	n->counters.values[COUNT_TARGETS_SILENT]++;
+	membership_leave(n, now, out);
+	t->silent = true;
+}
+
 void
 membership_tick(struct node *n, struct instant now, struct msg_list *out)
 {
 	struct group *g, *next;
 
+	notice_silence(n, now, out);
 	RB_FOREACH_SAFE (g, group_tree, &n->groups, next) {
-		if (g->self != NULL) {
+		probe_unreachable(n, g, now, out);
+		if (g->self != NULL &&
+		    (!n->target.left || !n->setup.guard->any_member)) {
 			target_tick(n, g, now, out);
 			continue;
 		}
-		if (now.mono_us - g->used_us > UNUSED_US) {
+		if (g->self == NULL && now.mono_us - g->used_us > UNUSED_US) {
 			RB_REMOVE(group_tree, &n->groups, g);
 			group_destroy(g);
 			continue;
--- a/core/msg.c
+++ b/core/msg.c
@@ -1,3 +1,4 @@
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,6 +30,7 @@
     [MSG_ROW] = "row",
     [MSG_OPS] = "ops",
     [MSG_OPS_REPLY] = "ops-reply",
+    [MSG_LIMITS] = "limits",
 };
 
 const char *
@@ -37,10 +39,42 @@
 	return kind < MSG_KIND_COUNT ? names[kind] : "unknown";
 }
 
+/* Most kinds are far smaller than the largest: take only what is used. */
+static size_t
+msg_size(enum msg_kind kind)
+{
+	static const size_t sizes[MSG_KIND_COUNT] = {
+	    [MSG_CALL] = sizeof(struct call),
+	    [MSG_ANSWER] = sizeof(struct reply),
+	    [MSG_FORWARD] = sizeof(struct forward),
+	    [MSG_REPLY] = sizeof(struct reply),
+	    [MSG_ASK_FATE] = sizeof(struct fate),
+	    [MSG_FATE] = sizeof(struct fate),
+	    [MSG_MEMBERS_ASK] = sizeof(struct members_ask),
+	    [MSG_MEMBERS] = sizeof(struct members),
+	    [MSG_HANDOVER] = sizeof(struct handover),
+	    [MSG_CONFIG_ASK] = sizeof(struct config),
+	    [MSG_CONFIG] = sizeof(struct config),
+	    [MSG_SHARE_ASK] = sizeof(struct share),
+	    [MSG_SHARE] = sizeof(struct share),
+	    [MSG_RUN] = sizeof(struct forward),
+	    [MSG_RUN_DONE] = sizeof(struct reply),
+	    [MSG_ANNOUNCE] = sizeof(struct announce),
+	    [MSG_ROW_READ] = sizeof(struct row),
+	    [MSG_ROW_WRITE] = sizeof(struct row),
+	    [MSG_ROW] = sizeof(struct row),
+	    [MSG_OPS] = sizeof(struct ops),
+	    [MSG_OPS_REPLY] = sizeof(struct ops),
+	    [MSG_LIMITS] = sizeof(struct caller_limits),
+	};
+
+	return offsetof(struct msg, u) + sizes[kind];
+}
+
 struct msg *
 msg_create(enum msg_kind kind)
 {
-	struct msg *m = xcalloc(1, sizeof(*m));
+	struct msg *m = xcalloc(1, msg_size(kind));
 
 	m->kind = kind;
 	return m;
@@ -124,6 +158,7 @@
 request_copy(struct request *dst, const struct request *src)
 {
 	memcpy(dst->method, src->method, sizeof(dst->method));
+	memcpy(dst->host, src->host, sizeof(dst->host));
 	memcpy(dst->path, src->path, sizeof(dst->path));
 	buffer_set(&dst->headers, src->headers.data, src->headers.len);
 	buffer_set(&dst->body, src->body.data, src->body.len);
--- a/core/msg.h
+++ b/core/msg.h
@@ -1,6 +1,10 @@
 /*
  * msg - the typed messages that tasks and daemons exchange
  *
+ * A message is as large as its kind needs: only that member of the union
+ * may be used, and kinds do not change but from MSG_ROW_READ and
+ * MSG_ROW_WRITE to MSG_ROW.
+ *
  * The core takes one message and a time, and leaves messages on a list.
  * A message belongs to whoever took it off a list; msg_destroy() frees it
  * and all that it holds.  How a message is written on a link is wire/'s
@@ -52,11 +56,13 @@
 	/* between the operators' task and the core */
 	MSG_OPS, /* an operator's request */
 	MSG_OPS_REPLY,
+	MSG_LIMITS, /* what callers may send, from the configuration */
 	MSG_KIND_COUNT,
 };
 
 struct request {
 	char method[METHOD_LEN];
+	char host[HOST_LEN]; /* as the caller named it; may be empty */
 	char path[PATH_LEN];
 	struct buffer headers; /* "Name: value\r\n" lines, none of ours */
 	struct buffer body;
@@ -90,6 +96,13 @@
 	struct threshold threshold;
 	uint32_t load; /* the target's work per slot, in thousandths */
 	bool leaving;
+	bool reached; /* bytes of the request may have gone to the target */
+};
+
+/* What an answer needs to know of its call. */
+struct call_tag {
+	char id[ID_LEN]; /* the caller's id, or empty */
+	uint64_t deadline_ms; /* as the caller named it; 0: not named */
 };
 
 struct call {
@@ -105,8 +118,10 @@
 
 struct forward {
 	char service[NAME_LEN];
+	char caller[NAME_LEN]; /* service of the host that took the call */
 	char id[ID_LEN];
 	bool idempotent;
+	char target_id[ID_LEN]; /* of the target's start, for MSG_RUN */
 	uint64_t incarnation; /* of the target that the entry chose */
 	uint64_t config_version;
 	struct call_context context;
@@ -211,11 +226,17 @@
 	struct share_item items[SHARES_PER_MSG];
 };
 
+/* What the local target says of itself. */
 struct announce {
 	char service[NAME_LEN];
+	char id[ID_LEN]; /* of this start of the target; may be empty */
+	uint64_t born_ms; /* its start, by its own calendar; 0: not said */
+	uint64_t seq; /* rises with each announcement of a start; 0: not said */
 	uint16_t port; /* of the target, on the local host */
 	uint32_t slots; /* calls that the target says it runs at once */
+	uint64_t warmup_ms; /* it is slow for so long yet */
 	bool leaving;
+	bool daemon_stays; /* it waits for the next start of a target */
 };
 
 enum row_status {
@@ -224,16 +245,34 @@
 	ROW_WRITTEN,
 	ROW_CONFLICT, /* the version was another; it is given */
 	ROW_UNKNOWN, /* no answer: a write may have taken effect */
+	ROW_HISTORY_GONE, /* a waiting read must begin anew, without since */
 };
 
+#define ROW_ANY_VERSION UINT64_MAX /* a write whatever the version is */
+
 struct row {
 	char key[256];
 	uint64_t version;
 	bool prefix; /* read all rows whose key begins so */
+	uint64_t wait_ms; /* a read may wait so long for a change */
+	/*
+	 * Where the changes that a waiting read asks for begin; 0: none, read
+	 * the row itself.  Set anew by each answer.
+	 */
+	uint64_t since;
+	uint64_t asked_us; /* when a read was sent: what it proves is as old */
 	enum row_status status;
 	struct buffer value; /* for a prefix: "key version value\n" lines */
 };
 
+/* What a caller may send, and how long it may take; 0: as the settings say. */
+struct caller_limits {
+	uint64_t header_bytes;
+	uint64_t body_bytes;
+	uint64_t header_timeout_us; /* for a request's head */
+	uint64_t idle_timeout_us; /* between requests */
+};
+
 enum ops_verb {
 	OPS_STATUS,
 	OPS_EXPLAIN,
@@ -272,6 +311,7 @@
 		struct announce announce;
 		struct row row;
 		struct ops ops;
+		struct caller_limits limits;
 	} u;
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -30,7 +30,8 @@
 	RB_INIT(&n->tries);
 	RB_INIT(&n->jobs);
 	TAILQ_INIT(&n->loopback);
-	retry_budget_init(&n->budget);
+	if (n->setup.domain[0] == '\0')
+		name_copy(n->setup.domain, n->setup.dc, NAME_LEN);
 	return n;
 }
 
@@ -160,6 +161,7 @@
 	case MSG_LINK_DOWN:
 		n->counters.values[COUNT_LINKS_LOST]++;
 		control_link_down(n, msg->peer, msg->sent, now);
+		membership_link_down(n, msg->peer);
 		entry_link_down(n, msg->peer, msg->sent, now, out);
 		break;
 	case MSG_RUN_DONE:
@@ -234,6 +236,8 @@
 {
 	struct msg_list fresh = TAILQ_HEAD_INITIALIZER(fresh);
 
+	if (is_between_daemons(msg->kind))
+		membership_met(n, msg->peer);
 	dispatch(n, msg, now, &fresh);
 	msg_destroy(msg);
 	drain_loopback(n, &fresh, now, out);
@@ -275,6 +279,20 @@
 	       (!n->target.present || n->target.left);
 }
 
+bool
+node_is_ready(const struct node *n)
+{
+	return n->conf.catalog != NULL && !n->draining;
+}
+
+struct caller_limits
+node_limits(const struct node *n)
+{
+	static const struct caller_limits none;
+
+	return n->conf.catalog != NULL ? n->conf.catalog->limits : none;
+}
+
 uint64_t
 node_version(const struct node *n)
 {
--- a/core/node.h
+++ b/core/node.h
@@ -36,6 +36,8 @@
 struct node_setup {
 	struct addr self;
 	char dc[NAME_LEN];
+	char domain[NAME_LEN]; /* whose daemons share rates; empty: the dc */
+	char service[NAME_LEN]; /* of this host; empty: as it is announced */
 	uint64_t incarnation; /* wall time of the start, in ms */
 	uint64_t seed;
 	const struct balancer *balancer;
@@ -52,6 +54,10 @@
 	size_t answer_bytes; /* of answers that it keeps */
 	uint64_t default_deadline_us;
 	uint64_t max_deadline_us;
+	uint64_t
+	    announce_silent_us; /* a target not heard of is out; 0: never */
+	uint64_t key_proof_us; /* keys are trusted so long; 0: for ever */
+	double headroom; /* part of the target's slots that is left free */
 };
 
 struct node;
@@ -65,6 +71,10 @@
 uint64_t node_wake(const struct node *);
 /* Whether a leaving node has finished all that it had to do. */
 bool node_is_drained(const struct node *);
+/* Whether callers may be sent here. */
+bool node_is_ready(const struct node *);
+/* What callers may send; zeroes until a configuration is known. */
+struct caller_limits node_limits(const struct node *);
 /* The version of the configuration in force; 0: none. */
 uint64_t node_version(const struct node *);
 bool node_is_draining(const struct node *);
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -45,13 +45,17 @@
 	char id_dc[NAME_LEN];
 	uint64_t stamp_ms;
 	bool idempotent;
-	bool keyed; /* charged to the key's organisation */
+	bool keyed; /* belongs to the key's organisation */
+	bool metered; /* is charged to its rate */
 	bool paid; /* a token of its rate was taken */
 	bool doubt; /* an earlier try of this call may have run */
+	struct failure failure; /* of the last try */
 	struct call_context context;
 	struct balance_call balance;
 	uint64_t begun_us;
 	uint64_t deadline_us;
+	uint64_t timeout_us; /* the route's; 0: none */
+	uint64_t goal_us; /* the route's; 0: none */
 	uint64_t wake_us; /* when to look at it again */
 	uint64_t ask_until_us; /* give up asking for the fate */
 	struct addr target;
@@ -59,6 +63,8 @@
 	uint32_t allowance; /* extra tries that are left here */
 	uint32_t tries; /* made in the whole tree below */
 	uint32_t retries; /* made here */
+	uint32_t reached; /* tries of which a target may have seen bytes */
+	uint32_t max_targets; /* that may see the call; 0: no bound */
 	uint64_t job; /* the local job that made the call; 0: none */
 };
 
@@ -90,10 +96,15 @@
 /* The target that announced itself to this daemon. */
 struct local_target {
 	char service[NAME_LEN];
+	char id[ID_LEN]; /* of its present start */
+	uint64_t born_ms;
+	uint64_t announce_seq; /* of the last announcement taken */
+	uint64_t heard_us; /* when that came */
 	uint32_t slots;
 	bool present;
 	bool leaving;
 	bool left;
+	bool silent; /* left because it was not heard of */
 	bool row_written;
 	uint64_t leave_ms; /* wall time from which it owns no new ids */
 	uint64_t row_us; /* last write of its row */
@@ -117,6 +128,9 @@
 struct node {
 	struct node_setup setup;
 	struct addr seeds[MAX_SEEDS];
+	struct addr
+	    acquaintances[MAX_SEEDS]; /* daemons that spoke to us last */
+	unsigned int nacquaintances;
 	struct counters counters;
 	struct confstate conf;
 	struct quota *quota;
@@ -130,9 +144,9 @@
 	size_t njobs;
 	struct ledger *ledger;
 	struct local_target target;
-	struct retry_budget budget;
 	struct submission submission;
 	struct msg_list loopback;
+	uint64_t incarnation_floor; /* of ours that others know of */
 	uint64_t rng;
 	uint64_t next_seq;
 	uint64_t last_tick_us;
@@ -177,6 +191,9 @@
 void serve_ask_fate(
     struct node *, struct msg *, struct instant, struct msg_list *);
 void serve_handover(struct node *, struct msg *, struct instant);
+/* The target leaves: what waits for it has not run and never will. */
+void serve_refuse_waiting(
+    struct node *, enum reason, struct instant, struct msg_list *);
 void serve_tick(struct node *, struct instant, struct msg_list *);
 /* The queue's policy, by the settings or as the operators' text weighs. */
 const struct shedder *serve_shedder(const struct node *);
@@ -197,7 +214,14 @@
 /* Look for members of a group that has none, unless just done. */
 void membership_read_rows(
     struct node *, struct group *, struct instant, struct msg_list *);
+/* The local target takes no new work. */
 void membership_leave(struct node *, struct instant, struct msg_list *);
+/* The daemon leaves, and takes its target out of choice. */
+void membership_drain(struct node *, struct instant, struct msg_list *);
+/* Remember a daemon that spoke to us, to ask it when nobody else is known. */
+void membership_met(struct node *, struct addr);
+/* A link broke: its daemon is tried last until it is heard of. */
+void membership_link_down(struct node *, struct addr);
 void membership_tick(struct node *, struct instant, struct msg_list *);
 void membership_destroy(struct node *);
 
--- a/core/operate.c
+++ b/core/operate.c
@@ -255,7 +255,7 @@
 		explain_request(n, msg, out);
 		break;
 	case OPS_DRAIN:
-		membership_leave(n, now, out);
+		membership_drain(n, now, out);
 		reply_text(n, msg->seq, 200, 0, "draining\n", 9, out);
 		break;
 	case OPS_SHOW:
--- a/core/serve.c
+++ b/core/serve.c
@@ -171,6 +171,8 @@
 	uint64_t stamp_ms;
 	struct owner o;
 
+	if (n->setup.guard->any_member)
+		return true;
 	*failure = failure_make(VERDICT_NOT_RUN, REASON_NOT_OWNER);
 	if (g == NULL || g->self == NULL ||
 	    !id_parse(f->id, &stamp_ms, dc, sizeof(dc)))
@@ -238,8 +240,10 @@
 		return false;
 	/* An id that it owns by its stamp is taken until the hand-over. */
 	failure->reason = REASON_LEAVING;
-	if (n->target.left || (f->idempotent && n->target.leaving &&
-				  now.wall_ms >= n->target.leave_ms))
+	if (n->target.left ||
+	    (n->target.leaving &&
+		(n->setup.guard->any_member ||
+		    (f->idempotent && now.wall_ms >= n->target.leave_ms))))
 		return false;
 	failure->reason = REASON_DEADLINE;
 	if (f->context.deadline_ms == 0)
@@ -303,6 +307,7 @@
 	m->u.forward = j->forward;
 	memset(&m->u.forward.request, 0, sizeof(m->u.forward.request));
 	request_move(&m->u.forward.request, &j->forward.request);
+	name_copy(m->u.forward.target_id, n->target.id, ID_LEN);
 	m->u.forward.context.job = j->seq;
 	m->u.forward.context.deadline_ms =
 	    (j->deadline_us - now.mono_us) / MSEC_US + 1;
@@ -497,10 +502,41 @@
 	ledger_adopt(n->ledger, h->org, h->id, &h->reply, h->kept, now);
 }
 
+void
+serve_refuse_waiting(struct node *n, enum reason reason, struct instant now,
+    struct msg_list *out)
+{
+	struct job *j, *next;
+
+	RB_FOREACH_SAFE (j, job_tree, &n->jobs, next) {
+		if (j->started_us != 0)
+			continue;
+		shed_remove(n->target.shed, &j->item);
+		refuse_job(n, j, reason, now, out);
+	}
+}
+
+/* A call whose time is over is told so, also while nothing may start. */
+static void
+refuse_overdue(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct job *j, *next;
+
+	if (shed_count(n->target.shed) == 0)
+		return;
+	RB_FOREACH_SAFE (j, job_tree, &n->jobs, next) {
+		if (j->started_us != 0 || now.mono_us < j->deadline_us)
+			continue;
+		shed_remove(n->target.shed, &j->item);
+		refuse_job(n, j, REASON_DEADLINE, now, out);
+	}
+}
+
 void
 serve_tick(struct node *n, struct instant now, struct msg_list *out)
 {
 	if (n->target.shed == NULL)
 		return;
 	pump(n, now, out);
+	refuse_overdue(n, now, out);
 }
--- a/core/tree.h
+++ b/core/tree.h
@@ -50,7 +50,10 @@
 	int depth;
 	uint64_t heard_us; /* the parent's last word */
 	uint64_t asked_us;
-	uint64_t read_us; /* the platform was last asked */
+	uint64_t read_us; /* the root's row was last asked for */
+	uint64_t follow_us; /* the configuration was */
+	uint64_t since; /* where its changes go on; 0: read it whole */
+	bool following; /* that answer has not come */
 	uint64_t answered_us; /* the platform last answered */
 	uint64_t failed_us; /* the platform last failed to answer */
 	uint64_t claimed_us; /* we last tried to become the root */
--- a/core/types.h
+++ b/core/types.h
@@ -14,6 +14,7 @@
 #define NAME_LEN 64 /* bytes of a name, with its NUL */
 #define ID_LEN 96 /* bytes of an idempotency id, with its NUL */
 #define PATH_LEN 1024 /* bytes of a request path, with its NUL */
+#define HOST_LEN 128 /* bytes of a request's host, with its NUL */
 #define METHOD_LEN 8 /* bytes of a method, with its NUL */
 #define KEY_HASH_LEN 32 /* bytes of a key's hash */
 
--- a/core/verdict.c
+++ b/core/verdict.c
@@ -7,8 +7,8 @@
 	const char *text;
 } reasons[REASON_COUNT] = {
     [REASON_NONE] = {"none", "no failure"},
-    [REASON_BAD_REQUEST] = {"bad-request",
-	"the request is malformed or names no route"},
+    [REASON_BAD_REQUEST] = {"bad-request", "the request is malformed"},
+    [REASON_NO_ROUTE] = {"no-route", "no route leads anywhere from there"},
     [REASON_NO_KEY] = {"no-key", "this route needs a key"},
     [REASON_KEY_REFUSED] = {"key-refused", "the key is unknown or withdrawn"},
     [REASON_NOT_DEPENDENCY] = {"not-dependency",
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -24,7 +24,8 @@
 
 enum reason {
 	REASON_NONE,
-	REASON_BAD_REQUEST, /* malformed, or names no route */
+	REASON_BAD_REQUEST, /* malformed */
+	REASON_NO_ROUTE, /* no route leads anywhere from there */
 	REASON_NO_KEY, /* the route wants a key and none came */
 	REASON_KEY_REFUSED, /* the key is unknown or withdrawn */
 	REASON_NOT_DEPENDENCY, /* the caller's service may not call this one */
--- /dev/null
+++ b/daemon/announce.c
@@ -0,0 +1,127 @@
+/* The announce port: requests of the local target become MSG_ANNOUNCE. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/announce.h"
+#include "daemon/daemon.h"
+#include "daemon/log.h"
+
+#define MAX_HEADER_BYTES 8192
+#define MAX_BODY_BYTES 16384
+#define MAX_CONNECTIONS 64
+#define TIMEOUT_US (30 * SEC_US) /* of a connection without a request */
+
+struct announcer {
+	struct daemon *daemon;
+	struct http_server *http;
+	char state[16]; /* last logged */
+};
+
+static void
+reply(
+    struct http_exchange *ex, int status, const char *headers, const char *body)
+{
+	struct http_answer a = {.status = status};
+
+	a.headers = headers;
+	a.headers_len = headers != NULL ? strlen(headers) : 0;
+	a.body = body;
+	a.body_len = body != NULL ? strlen(body) : 0;
+	http_exchange_answer(ex, &a);
+}
+
+/* One line when what the target says of itself changes. */
+static void
+note_state(struct announcer *s, const struct announce *a)
+{
+	const char *state = a->leaving ? "leaving" : "ready";
+
+	if (strcmp(state, s->state) == 0)
+		return;
+	name_copy(s->state, state, sizeof(s->state));
+	log_line(LOG_NOTICE, "target-announced",
+	    "state=%s id=%s born_ms=%" PRIu64 " seq=%" PRIu64 " slots=%" PRIu32,
+	    state, a->id, a->born_ms, a->seq, a->slots);
+}
+
+static void
+pass_on(struct announcer *s, const struct announce *a)
+{
+	struct msg *m = msg_create(MSG_ANNOUNCE), *copy;
+
+	m->u.announce = *a;
+	if (!a->leaving) {
+		copy = msg_create(MSG_ANNOUNCE);
+		copy->u.announce = *a;
+		task_send(s->daemon->target, copy);
+	}
+	task_send(s->daemon->decide, m);
+}
+
+static void
+on_request(void *owner, struct http_exchange *ex)
+{
+	struct announcer *s = owner;
+	const struct announcement *kind = s->daemon->announcement;
+	struct announce a;
+
+	memset(&a, 0, sizeof(a));
+	switch (
+	    kind->read(http_exchange_request(ex), s->daemon->settings, &a)) {
+	case ANNOUNCE_TAKEN:
+		note_state(s, &a);
+		pass_on(s, &a);
+		reply(ex, 200, kind->ack_headers, kind->ack_body);
+		break;
+	case ANNOUNCE_UNKNOWN_PATH:
+		reply(ex, 404, NULL, NULL);
+		break;
+	default:
+		log_line(LOG_WARNING, "announcement-refused", "path=%.64s",
+		    http_message_url(http_exchange_request(ex)));
+		reply(ex, 400, NULL, NULL);
+		break;
+	}
+}
+
+static const struct http_server_ops server_ops = {on_request, NULL};
+
+static void
+receive(void *state, struct msg *m)
+{
+	(void)state;
+	msg_destroy(m);
+}
+
+static void
+destroy(void *state)
+{
+	struct announcer *s = state;
+
+	http_server_destroy(s->http);
+	free(s);
+}
+
+static const struct task_ops ops = {receive, destroy};
+
+struct task *
+announce_task_create(struct daemon *d)
+{
+	struct http_server_settings set = {
+	    .limits = {MAX_HEADER_BYTES, MAX_BODY_BYTES},
+	    .header_timeout_us = TIMEOUT_US,
+	    .idle_timeout_us = TIMEOUT_US,
+	    .max_connections = MAX_CONNECTIONS,
+	};
+	struct announcer *s = xcalloc(1, sizeof(*s));
+
+	s->daemon = d;
+	s->http = http_server_create(
+	    d->base, d->settings->announce, &set, &server_ops, s);
+	if (s->http == NULL) {
+		free(s);
+		return NULL;
+	}
+	return task_create(d->base, "announce", &ops, s);
+}
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -33,10 +33,11 @@
 }
 
 static struct task *
-task_for(struct daemon *d, enum msg_kind kind)
+task_for(struct daemon *d, const struct msg *m)
 {
-	switch (kind) {
+	switch (m->kind) {
 	case MSG_ANSWER:
+	case MSG_LIMITS:
 		return d->front;
 	case MSG_RUN:
 	case MSG_RUN_CANCEL:
@@ -45,7 +46,7 @@
 	case MSG_ROW_WRITE:
 		return d->platform;
 	case MSG_OPS_REPLY:
-		return d->operators;
+		return m->seq & DAEMON_PROBE_SEQ ? d->probe : d->operators;
 	default:
 		return d->link;
 	}
@@ -58,7 +59,7 @@
 
 	while ((m = TAILQ_FIRST(out)) != NULL) {
 		TAILQ_REMOVE(out, m, entry);
-		task_send(task_for(s->daemon, m->kind), m);
+		task_send(task_for(s->daemon, m), m);
 	}
 }
 
@@ -103,25 +104,48 @@
 	event_base_loopexit(s->daemon->base, NULL);
 }
 
+static void
+send_limits(struct decide *s)
+{
+	struct msg *m = msg_create(MSG_LIMITS);
+
+	m->u.limits = node_limits(s->node);
+	task_send(s->daemon->front, m);
+}
+
+/* What other tasks go by, brought up to date. */
+static void
+publish(struct decide *s)
+{
+	uint64_t version = node_version(s->node);
+	bool ready = node_is_ready(s->node);
+
+	if (version != s->version) {
+		log_line(LOG_NOTICE, "config-adopted", "version=%llu was=%llu",
+		    (unsigned long long)version,
+		    (unsigned long long)s->version);
+		send_limits(s);
+	}
+	if (ready != s->daemon->ready)
+		log_line(LOG_NOTICE, ready ? "ready" : "not-ready",
+		    "version=%llu", (unsigned long long)version);
+	s->version = version;
+	s->daemon->ready = ready;
+	s->daemon->draining = node_is_draining(s->node);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
 	struct decide *s = arg;
 	struct instant now = daemon_now();
-	uint64_t version;
 
 	(void)fd;
 	(void)what;
 	node_tick(s->node, now, &out);
 	send_all(s, &out);
-	version = node_version(s->node);
-	if (version != s->version)
-		log_line(LOG_NOTICE, "config-adopted", "version=%llu was=%llu",
-		    (unsigned long long)version,
-		    (unsigned long long)s->version);
-	s->version = version;
-	s->daemon->draining = node_is_draining(s->node);
+	publish(s);
 	check_drained(s, now);
 	arm(s);
 }
--- /dev/null
+++ b/daemon/dialect_native.c
@@ -0,0 +1,204 @@
+/*
+ * Our own interface: what a caller's headers mean, and what is told to
+ * callers and to the target.  The caller's key ends here: only its hash goes
+ * on.
+ */
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon/daemon.h"
+#include "daemon/dialect.h"
+#include "wire/httpmap.h"
+
+static bool
+passes(const char *name, const char *value)
+{
+	(void)value;
+	return httpmap_passes(name);
+}
+
+static bool
+is_allowed_method(const char *method)
+{
+	static const char *const allowed[] = {
+	    "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH"};
+	size_t i;
+
+	for (i = 0; i < sizeof(allowed) / sizeof(allowed[0]); i++) {
+		if (strcmp(method, allowed[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+read_id(const struct http_message *m, struct call *c)
+{
+	const char *id = http_message_field(m, HEADER_ID);
+
+	if (id == NULL)
+		return true;
+	if (strlen(id) >= sizeof(c->id) || id[0] == '\0')
+		return false;
+	name_copy(c->id, id, sizeof(c->id));
+	return true;
+}
+
+static bool
+read_deadline(const struct http_message *m, struct call *c)
+{
+	const char *value = http_message_field(m, HEADER_DEADLINE);
+
+	return value == NULL ||
+	       (dialect_parse_number(value, &c->context.deadline_ms) &&
+		   c->context.deadline_ms > 0);
+}
+
+static void
+read_context(struct daemon *d, const struct http_message *m, struct call *c)
+{
+	const char *value = http_message_field(m, HEADER_CONTEXT);
+	struct call_context got;
+
+	if (value == NULL)
+		return;
+	c->has_context = true;
+	if (!context_read(d->context_key, value, &got)) {
+		c->context_bad = true;
+		return;
+	}
+	c->context.tree = got.tree;
+	c->context.job = got.job;
+}
+
+/* A key that shows up anywhere else would reach the target. */
+static bool
+hides_key(const struct http_message *m, const char *key)
+{
+	int i;
+
+	if (strstr(http_message_url(m), key) != NULL)
+		return false;
+	for (i = 0; i < m->nfields; i++) {
+		if (strcasecmp(http_message_name(m, i), HEADER_KEY) != 0 &&
+		    httpmap_passes(http_message_name(m, i)) &&
+		    strstr(http_message_value(m, i), key) != NULL)
+			return false;
+	}
+	return true;
+}
+
+static bool
+read_request(struct daemon *d, const struct http_message *m, struct call *c)
+{
+	const char *url = http_message_url(m);
+	const char *key =
+	    dialect_credentials(http_message_field(m, HEADER_KEY), "Bearer");
+
+	if (!is_allowed_method(m->method) || url[0] != '/' ||
+	    strlen(url) >= PATH_LEN || (key != NULL && !hides_key(m, key)))
+		return false;
+	name_copy(c->request.method, m->method, METHOD_LEN);
+	name_copy(c->request.path, url, PATH_LEN);
+	if (key != NULL) {
+		crypto_generichash(c->key_hash, KEY_HASH_LEN,
+		    (const uint8_t *)key, strlen(key), NULL, 0);
+		c->has_key = true;
+	}
+	if (!read_id(m, c) || !read_deadline(m, c))
+		return false;
+	read_context(d, m, c);
+	dialect_copy_headers(m, passes, &c->request.headers);
+	buffer_set(&c->request.body, m->body, m->body_len);
+	return true;
+}
+
+static int
+write_failure(const struct call_tag *tag, const struct reply *r,
+    struct evbuffer *headers, struct evbuffer *body)
+{
+	char text[24];
+
+	(void)tag;
+	dialect_add_header(
+	    headers, HEADER_VERDICT, verdict_name(r->failure.verdict));
+	dialect_add_header(
+	    headers, HEADER_REASON, reason_name(r->failure.reason));
+	dialect_add_header(headers, "Content-Type", "text/plain");
+	if (r->retry_after_ms != 0) {
+		snprintf(text, sizeof(text), "%" PRIu32,
+		    (r->retry_after_ms + 999) / 1000);
+		dialect_add_header(headers, HEADER_RETRY_AFTER, text);
+	}
+	evbuffer_add_printf(body, "%s: %s\n", verdict_name(r->failure.verdict),
+	    reason_text(r->failure.reason));
+	return httpmap_status(r->failure.reason);
+}
+
+static void
+write_answer(const struct call_tag *tag, struct evbuffer *headers)
+{
+	(void)tag;
+	dialect_add_header(headers, HEADER_VERDICT, verdict_name(VERDICT_RAN));
+}
+
+static void
+write_run(struct daemon *d, const struct forward *f, struct evbuffer *headers)
+{
+	char context[CONTEXT_TEXT_LEN], deadline[24];
+
+	context_write(d->context_key, &f->context, context, sizeof(context));
+	snprintf(
+	    deadline, sizeof(deadline), "%" PRIu64, f->context.deadline_ms);
+	evbuffer_add(headers, f->request.headers.data, f->request.headers.len);
+	dialect_add_header(headers, "Host", "127.0.0.1");
+	dialect_add_header(headers, HEADER_CONTEXT, context);
+	dialect_add_header(headers, HEADER_DEADLINE, deadline);
+	if (f->id[0] != '\0')
+		dialect_add_header(headers, HEADER_ID, f->id);
+	if (f->context.org[0] != '\0')
+		dialect_add_header(
+		    headers, "Cranberryway-Organisation", f->context.org);
+}
+
+static bool
+answers(const char *id, const struct http_message *m)
+{
+	(void)id;
+	(void)m;
+	return true;
+}
+
+/* A target that sheds a request says so; only then is it not run. */
+static void
+read_answer(const struct http_message *m, struct reply *r)
+{
+	const char *verdict = http_message_field(m, HEADER_VERDICT);
+
+	if (verdict != NULL &&
+	    strcmp(verdict, verdict_name(VERDICT_NOT_RUN)) == 0) {
+		reply_fail(r, failure_make(VERDICT_NOT_RUN, REASON_SHED));
+		return;
+	}
+	/* An answer that states no length may be cut short unnoticed. */
+	if (m->until_close) {
+		reply_fail(r,
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED));
+		return;
+	}
+	r->status = m->status;
+	dialect_copy_headers(m, passes, &r->headers);
+	buffer_set(&r->body, m->body, m->body_len);
+}
+
+const struct dialect dialect_native = {
+    .name = "native",
+    .read_request = read_request,
+    .write_failure = write_failure,
+    .write_answer = write_answer,
+    .write_run = write_run,
+    .answers = answers,
+    .read_answer = read_answer,
+};
--- /dev/null
+++ b/daemon/http_client.c
@@ -0,0 +1,386 @@
+#include <bsd/sys/queue.h>
+#include <event2/event_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/daemon.h"
+#include "daemon/http_client.h"
+#include "daemon/stream.h"
+
+#define SWEEP_US (1 * SEC_US) /* between looks at kept connections */
+#define KEEP_MARGIN_US                                                         \
+	(1500 * MSEC_US) /* closed so long before the peer does */
+#define LINE_BYTES 2048 /* of a request line, and of Content-Length */
+
+struct http_call {
+	struct http_client *client;
+	struct conn *conn;
+	void (*done)(void *arg, const struct http_result *);
+	bool (*answers)(void *arg, const struct http_message *);
+	void *arg;
+	struct event timer;
+};
+
+struct conn {
+	TAILQ_ENTRY(conn) entry;
+	struct http_client *client;
+	struct stream *stream;
+	struct http_reader reader;
+	struct http_call *call; /* NULL while it is kept */
+	uint64_t until_us; /* kept until then */
+	uint64_t sent_before; /* bytes sent when the request began */
+	bool connected;
+	bool fresh;
+	bool spoiled; /* not to be used again */
+};
+
+TAILQ_HEAD(conn_queue, conn);
+
+struct http_client {
+	struct event_base *base;
+	struct addr to;
+	struct http_client_settings settings;
+	struct conn_queue busy;
+	struct conn_queue idle; /* the last used first */
+	size_t nidle;
+	struct event *sweep;
+};
+
+static void
+conn_free(struct conn *c)
+{
+	struct http_client *cl = c->client;
+
+	if (c->call != NULL) {
+		TAILQ_REMOVE(&cl->busy, c, entry);
+	} else {
+		TAILQ_REMOVE(&cl->idle, c, entry);
+		cl->nidle--;
+	}
+	http_reader_release(&c->reader);
+	stream_destroy(c->stream);
+	free(c);
+}
+
+static void
+call_free(struct http_call *call)
+{
+	event_del(&call->timer);
+	free(call);
+}
+
+static bool
+is_sent(const struct conn *c)
+{
+	return c->connected && stream_sent(c->stream) > c->sent_before;
+}
+
+/* End a call whose connection goes with it. */
+static void
+fail(struct conn *c, enum http_outcome outcome)
+{
+	struct http_call *call = c->call;
+	struct http_result result = {
+	    .outcome = outcome, .sent = is_sent(c), .fresh = c->fresh};
+
+	conn_free(c);
+	call->done(call->arg, &result);
+	call_free(call);
+}
+
+/* How long the peer says that it keeps the connection. */
+static uint64_t
+kept_for(const struct conn *c, const struct http_message *m)
+{
+	const char *value = http_message_field(m, "Keep-Alive"), *p;
+	uint64_t us = c->client->settings.idle_us, said;
+
+	p = value != NULL ? strstr(value, "timeout=") : NULL;
+	if (p == NULL)
+		return us;
+	said = strtoull(p + strlen("timeout="), NULL, 10) * SEC_US;
+	said = said > KEEP_MARGIN_US ? said - KEEP_MARGIN_US : 0;
+	return said < us ? said : us;
+}
+
+static void
+keep(struct conn *c, uint64_t for_us)
+{
+	struct http_client *cl = c->client;
+
+	TAILQ_REMOVE(&cl->busy, c, entry);
+	c->call = NULL;
+	c->until_us = daemon_now().mono_us + for_us;
+	TAILQ_INSERT_HEAD(&cl->idle, c, entry);
+	cl->nidle++;
+	http_reader_next(&c->reader);
+	if (cl->nidle > cl->settings.max_idle)
+		conn_free(TAILQ_LAST(&cl->idle, conn_queue));
+}
+
+static void
+answered(struct conn *c)
+{
+	struct http_call *call = c->call;
+	struct http_message msg;
+	struct http_result result = {
+	    .outcome = HTTP_ANSWERED, .sent = true, .fresh = c->fresh};
+	uint64_t for_us;
+
+	http_message_move(&msg, &c->reader.msg);
+	for_us = kept_for(c, &msg);
+	if (c->spoiled || !msg.keep_alive || for_us == 0 ||
+	    stream_pending(c->stream) > 0)
+		conn_free(c);
+	else
+		keep(c, for_us);
+	result.msg = &msg;
+	call->done(call->arg, &result);
+	call_free(call);
+	http_message_release(&msg);
+}
+
+static bool
+is_interim(const struct http_message *m)
+{
+	return m->status >= 100 && m->status < 200;
+}
+
+/* Drop a message that does not answer the call that waits. */
+static bool
+skip_foreign(struct conn *c)
+{
+	const struct http_message *m = &c->reader.msg;
+	struct http_call *call = c->call;
+
+	if (is_interim(m)) {
+		http_reader_next(&c->reader);
+		return true;
+	}
+	if (call->answers == NULL || call->answers(call->arg, m))
+		return false;
+	c->spoiled = true;
+	http_reader_next(&c->reader);
+	return true;
+}
+
+static void
+on_read(void *owner, const char *data, size_t len)
+{
+	struct conn *c = owner;
+	size_t used;
+
+	/* Nothing was asked: these bytes belong to no request. */
+	if (c->call == NULL) {
+		conn_free(c);
+		return;
+	}
+	while (len > 0) {
+		used = http_reader_feed(&c->reader, data, len);
+		data += used;
+		len -= used;
+		if (c->reader.state > HTTP_READER_WHOLE) {
+			fail(c, HTTP_BROKEN);
+			return;
+		}
+		if (c->reader.state != HTTP_READER_WHOLE)
+			return;
+		if (skip_foreign(c))
+			continue;
+		if (len > 0)
+			c->spoiled = true;
+		answered(c);
+		return;
+	}
+}
+
+static void
+on_closed(void *owner, enum stream_end end)
+{
+	struct conn *c = owner;
+
+	if (c->call == NULL) {
+		conn_free(c);
+		return;
+	}
+	if (end == STREAM_EOF)
+		http_reader_eof(&c->reader);
+	c->spoiled = true;
+	if (c->reader.state == HTTP_READER_WHOLE && !skip_foreign(c))
+		answered(c);
+	else
+		fail(c,
+		    end == STREAM_REFUSED ? HTTP_NOT_CONNECTED : HTTP_BROKEN);
+}
+
+static void
+on_connected(void *owner)
+{
+	struct conn *c = owner;
+
+	c->connected = true;
+}
+
+static const struct stream_ops stream_ops = {on_read, on_closed, on_connected};
+
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_call *call = arg;
+
+	(void)fd;
+	(void)what;
+	fail(call->conn, HTTP_TIMED_OUT);
+}
+
+static struct conn *
+conn_create(struct http_client *cl)
+{
+	struct conn *c = xcalloc(1, sizeof(*c));
+
+	c->client = cl;
+	c->stream = stream_connect(cl->base, cl->to, &stream_ops, c);
+	if (c->stream == NULL) {
+		free(c);
+		return NULL;
+	}
+	c->fresh = true;
+	http_reader_init(&c->reader, HTTP_READ_RESPONSE, &cl->settings.limits);
+	return c;
+}
+
+static struct conn *
+conn_get(struct http_client *cl)
+{
+	uint64_t now = daemon_now().mono_us;
+	struct conn *c;
+
+	while ((c = TAILQ_FIRST(&cl->idle)) != NULL) {
+		if (c->until_us <= now) {
+			conn_free(c);
+			continue;
+		}
+		TAILQ_REMOVE(&cl->idle, c, entry);
+		cl->nidle--;
+		c->fresh = false;
+		return c;
+	}
+	return conn_create(cl);
+}
+
+static void
+write_request(struct conn *c, const struct http_request *r)
+{
+	struct evbuffer *out = stream_output(c->stream);
+	bool states_length =
+	    r->body_len > 0 || strcmp(r->method, "POST") == 0 ||
+	    strcmp(r->method, "PUT") == 0 || strcmp(r->method, "PATCH") == 0;
+	char line[64];
+	int len;
+
+	c->sent_before = stream_sent(c->stream);
+	evbuffer_add(out, r->method, strlen(r->method));
+	evbuffer_add(out, " ", 1);
+	evbuffer_add(out, r->path, strlen(r->path));
+	evbuffer_add(out, " HTTP/1.1\r\n", 11);
+	if (r->headers_len > 0)
+		evbuffer_add(out, r->headers, r->headers_len);
+	if (states_length) {
+		len = snprintf(
+		    line, sizeof(line), "Content-Length: %zu\r\n", r->body_len);
+		evbuffer_add(out, line, (size_t)len);
+	}
+	evbuffer_add(out, "\r\n", 2);
+	if (r->body_len > 0)
+		evbuffer_add(out, r->body, r->body_len);
+	stream_flush(c->stream);
+}
+
+struct http_call *
+http_client_send(struct http_client *cl, const struct http_request *r,
+    void (*done)(void *arg, const struct http_result *), void *arg)
+{
+	struct timeval tv = {
+	    (time_t)(r->timeout_us / SEC_US), (long)(r->timeout_us % SEC_US)};
+	struct conn *c = conn_get(cl);
+	struct http_call *call;
+
+	if (c == NULL)
+		return NULL;
+	call = xcalloc(1, sizeof(*call));
+	call->client = cl;
+	call->conn = c;
+	call->done = done;
+	call->answers = r->answers;
+	call->arg = arg;
+	evtimer_assign(&call->timer, cl->base, on_timeout, call);
+	evtimer_add(&call->timer, &tv);
+	c->call = call;
+	c->reader.no_body = strcmp(r->method, "HEAD") == 0;
+	TAILQ_INSERT_TAIL(&cl->busy, c, entry);
+	write_request(c, r);
+	return call;
+}
+
+void
+http_call_cancel(struct http_call *call)
+{
+	conn_free(call->conn);
+	call_free(call);
+}
+
+void
+http_client_close_idle(struct http_client *cl)
+{
+	struct conn *c;
+
+	while ((c = TAILQ_FIRST(&cl->idle)) != NULL)
+		conn_free(c);
+}
+
+static void
+on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	uint64_t now = daemon_now().mono_us;
+	struct http_client *cl = arg;
+	struct conn *c, *next;
+
+	(void)fd;
+	(void)what;
+	TAILQ_FOREACH_SAFE (c, &cl->idle, entry, next) {
+		if (c->until_us <= now)
+			conn_free(c);
+	}
+}
+
+struct http_client *
+http_client_create(struct event_base *base, struct addr to,
+    const struct http_client_settings *settings)
+{
+	struct timeval tv = {SWEEP_US / SEC_US, SWEEP_US % SEC_US};
+	struct http_client *cl = xcalloc(1, sizeof(*cl));
+
+	cl->base = base;
+	cl->to = to;
+	cl->settings = *settings;
+	TAILQ_INIT(&cl->busy);
+	TAILQ_INIT(&cl->idle);
+	cl->sweep = event_new(base, -1, EV_PERSIST, on_sweep, cl);
+	event_add(cl->sweep, &tv);
+	return cl;
+}
+
+void
+http_client_destroy(struct http_client *cl)
+{
+	struct conn *c;
+
+	if (cl == NULL)
+		return;
+	while ((c = TAILQ_FIRST(&cl->busy)) != NULL)
+		http_call_cancel(c->call);
+	http_client_close_idle(cl);
+	event_free(cl->sweep);
+	free(cl);
+}
--- /dev/null
+++ b/daemon/http_message.c
@@ -0,0 +1,297 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "daemon/http_message.h"
+
+#define TEXT_START 1024 /* bytes first allocated for a head */
+
+static void
+grow(char **data, size_t *cap, size_t want, size_t start)
+{
+	size_t n = *cap != 0 ? *cap : start;
+
+	while (n < want)
+		n *= 2;
+	if (n == *cap)
+		return;
+	*data = realloc(*data, n);
+	if (*data == NULL)
+		abort();
+	*cap = n;
+}
+
+static void
+text_add(struct http_message *m, const char *at, size_t len)
+{
+	grow(&m->text, &m->text_cap, m->text_len + len + 1, TEXT_START);
+	memcpy(m->text + m->text_len, at, len);
+	m->text_len += len;
+}
+
+static void
+text_end(struct http_message *m)
+{
+	text_add(m, "", 1);
+}
+
+static struct http_reader *
+reader_of(struct http_parser *p)
+{
+	return p->data;
+}
+
+static int
+on_url(struct http_parser *p, const char *at, size_t len)
+{
+	text_add(&reader_of(p)->msg, at, len);
+	return 0;
+}
+
+static void
+end_line(struct http_reader *r)
+{
+	if (r->msg.text_len > 0 && r->msg.text[r->msg.text_len - 1] != '\0')
+		text_end(&r->msg);
+}
+
+static int
+on_field(struct http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = reader_of(p);
+	struct http_message *m = &r->msg;
+
+	/* Trailers are read and left out. */
+	if (r->state != HTTP_READER_HEAD)
+		return 0;
+	/* The parser takes a space before the colon; others do not. */
+	if (memchr(at, ' ', len) != NULL || memchr(at, '\t', len) != NULL)
+		return -1;
+	if (r->in_value || m->nfields == 0) {
+		if (m->nfields == HTTP_MAX_FIELDS)
+			return -1;
+		/* An empty value leaves no byte behind. */
+		if (r->in_value)
+			text_end(m);
+		else
+			end_line(r);
+		m->fields[m->nfields].name = (uint32_t)m->text_len;
+		m->fields[m->nfields].value = 0;
+		m->nfields++;
+		r->in_value = false;
+	}
+	text_add(m, at, len);
+	return 0;
+}
+
+static int
+on_value(struct http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = reader_of(p);
+	struct http_message *m = &r->msg;
+
+	if (r->state != HTTP_READER_HEAD)
+		return 0;
+	if (!r->in_value) {
+		text_end(m);
+		m->fields[m->nfields - 1].value = (uint32_t)m->text_len;
+		r->in_value = true;
+	}
+	if (memchr(at, '\0', len) != NULL)
+		return -1;
+	text_add(m, at, len);
+	return 0;
+}
+
+static bool
+states_length(const struct http_parser *p)
+{
+	return (p->flags & F_CHUNKED) != 0 ||
+	       (p->flags & F_CONTENTLENGTH) != 0 || p->status_code < 200 ||
+	       p->status_code == 204 || p->status_code == 304;
+}
+
+static int
+on_headers_complete(struct http_parser *p)
+{
+	struct http_reader *r = reader_of(p);
+	struct http_message *m = &r->msg;
+	const char *expect;
+
+	text_end(m);
+	m->method = http_method_str(p->method);
+	m->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
+	r->state = HTTP_READER_BODY;
+	if (p->type == HTTP_REQUEST) {
+		if (p->upgrade)
+			p->upgrade = 0;
+		if (http_message_field(m, "Transfer-Encoding") != NULL &&
+		    (p->flags & F_CHUNKED) == 0)
+			return -1;
+		expect = http_message_field(m, "Expect");
+		m->expects_continue =
+		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
+	} else {
+		m->until_close = !r->no_body && !states_length(p);
+	}
+	return r->no_body ? 1 : 0;
+}
+
+static int
+on_body(struct http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = reader_of(p);
+	struct http_message *m = &r->msg;
+
+	if (m->body_len + len > r->limits.body_bytes) {
+		r->state = HTTP_READER_BODY_TOO_LONG;
+		return -1;
+	}
+	grow(&m->body, &m->body_cap, m->body_len + len + 1, len + 1);
+	memcpy(m->body + m->body_len, at, len);
+	m->body_len += len;
+	m->body[m->body_len] = '\0';
+	return 0;
+}
+
+static int
+on_message_complete(struct http_parser *p)
+{
+	struct http_reader *r = reader_of(p);
+
+	r->msg.keep_alive = http_should_keep_alive(p) != 0;
+	r->state = HTTP_READER_WHOLE;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const struct http_parser_settings callbacks = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+void
+http_reader_init(struct http_reader *r, enum http_reader_kind kind,
+    const struct http_limits *limits)
+{
+	memset(r, 0, sizeof(*r));
+	r->limits = *limits;
+	http_parser_init(&r->parser,
+	    kind == HTTP_READ_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	r->parser.data = r;
+}
+
+void
+http_reader_release(struct http_reader *r)
+{
+	http_message_release(&r->msg);
+}
+
+static bool
+is_reading(const struct http_reader *r)
+{
+	return r->state == HTTP_READER_HEAD || r->state == HTTP_READER_BODY;
+}
+
+size_t
+http_reader_feed(struct http_reader *r, const char *data, size_t len)
+{
+	bool head = r->state == HTTP_READER_HEAD;
+	size_t used;
+
+	if (!is_reading(r) || len == 0)
+		return 0;
+	r->begun = true;
+	used = http_parser_execute(&r->parser, &callbacks, data, len);
+	if (r->parser.upgrade)
+		r->state = HTTP_READER_BAD;
+	if (r->state == HTTP_READER_HEAD)
+		r->head_bytes += used;
+	if (head && r->head_bytes > r->limits.header_bytes)
+		r->state = HTTP_READER_HEAD_TOO_LONG;
+	if (head && r->msg.text_len > r->limits.header_bytes)
+		r->state = HTTP_READER_HEAD_TOO_LONG;
+	if (is_reading(r) && HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+		r->state = HTTP_PARSER_ERRNO(&r->parser) == HPE_HEADER_OVERFLOW
+			       ? HTTP_READER_HEAD_TOO_LONG
+			       : HTTP_READER_BAD;
+	return used;
+}
+
+void
+http_reader_eof(struct http_reader *r)
+{
+	if (r->state == HTTP_READER_BODY)
+		http_parser_execute(&r->parser, &callbacks, NULL, 0);
+}
+
+void
+http_reader_next(struct http_reader *r)
+{
+	enum http_parser_type type = (enum http_parser_type)r->parser.type;
+
+	http_message_release(&r->msg);
+	http_parser_init(&r->parser, type);
+	r->parser.data = r;
+	r->state = HTTP_READER_HEAD;
+	r->head_bytes = 0;
+	r->begun = false;
+	r->in_value = false;
+}
+
+const char *
+http_message_name(const struct http_message *m, int i)
+{
+	return m->text + m->fields[i].name;
+}
+
+const char *
+http_message_value(const struct http_message *m, int i)
+{
+	return m->fields[i].value != 0 ? m->text + m->fields[i].value : "";
+}
+
+const char *
+http_message_url(const struct http_message *m)
+{
+	return m->text != NULL ? m->text + m->url : "";
+}
+
+const char *
+http_message_field(const struct http_message *m, const char *name)
+{
+	int i;
+
+	for (i = 0; i < m->nfields; i++) {
+		if (strcasecmp(http_message_name(m, i), name) == 0)
+			return http_message_value(m, i);
+	}
+	return NULL;
+}
+
+void
+http_message_move(struct http_message *dst, struct http_message *src)
+{
+	*dst = *src;
+	memset(src, 0, sizeof(*src));
+}
+
+void
+http_message_release(struct http_message *m)
+{
+	free(m->text);
+	free(m->body);
+	memset(m, 0, sizeof(*m));
+}
+
+const char *
+http_status_text(int status)
+{
+	const char *text = http_status_str((enum http_status)status);
+
+	return text != NULL ? text : "Unknown";
+}
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -1,30 +1,26 @@
 /*
  * Links to other daemons: TCP, a handshake that proves the fleet's secret
  * on both sides, then frames.  A link is opened when there is something to
- * send; either side's connection serves both directions.
+ * send; either side's connection serves both directions.  An open link is
+ * never silent: an empty frame says that the daemon is there.
  */
-#include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "daemon/daemon.h"
 #include "daemon/log.h"
+#include "daemon/stream.h"
 #include "wire/frame.h"
 
-#define HANDSHAKE_S 3 /* a link that is not open by then is closed */
-#define SEND_TIMEOUT_MS 3000 /* unacknowledged for so long: lost */
+#define HANDSHAKE_US (1 * SEC_US) /* a link not open by then is closed */
+#define ALIVE_US (400 * MSEC_US) /* between empty frames on a quiet link */
+#define SILENT_US (1500 * MSEC_US) /* nothing came for so long: lost */
+#define SWEEP_US (200 * MSEC_US) /* between looks at all links */
 #define MAX_OUTPUT (16u << 20) /* bytes that may wait on one link */
-#define IDLE_US                                                                \
-	(120 * SEC_US) /* an outgoing link without traffic is closed           \
-			*/
-#define SWEEP_S 10
-#define LISTEN_BACKLOG 256
+#define IDLE_US (120 * SEC_US) /* a link without messages is closed */
 
 enum link_state {
 	LINK_HELLO, /* connecting, or the peer's nonce has not come */
@@ -35,12 +31,16 @@
 struct link {
 	LIST_ENTRY(link) entry;
 	struct links *links;
-	struct bufferevent *bev;
+	struct stream *stream;
+	struct evbuffer *in; /* a frame that has come in part */
 	struct msg_list waiting; /* until the link is open */
 	struct addr peer;
 	enum link_state state;
 	bool outgoing;
-	uint64_t used_us;
+	uint64_t begun_us;
+	uint64_t used_us; /* last message */
+	uint64_t heard_us; /* last byte that came */
+	uint64_t said_us; /* last frame that was sent */
 	uint8_t nonce[FRAME_NONCE_LEN];
 	uint8_t peer_nonce[FRAME_NONCE_LEN];
 };
@@ -50,7 +50,7 @@
 struct links {
 	struct daemon *daemon;
 	struct link_list list;
-	struct evconnlistener *listener;
+	struct listener *listener;
 	struct event *sweep;
 	uint64_t count;
 };
@@ -84,7 +84,7 @@
 	struct buffer buf = {NULL, 0};
 
 	frame_encode_handshake(h, &buf);
-	bufferevent_write(l->bev, buf.data, buf.len);
+	stream_write(l->stream, buf.data, buf.len);
 	buffer_release(&buf);
 }
 
@@ -104,7 +104,8 @@
 	LIST_REMOVE(l, entry);
 	l->links->count--;
 	msg_list_clear(&l->waiting);
-	bufferevent_free(l->bev);
+	stream_destroy(l->stream);
+	evbuffer_free(l->in);
 	free(l);
 }
 
@@ -115,8 +116,9 @@
 	char text[ADDR_TEXT_LEN];
 	struct msg *m;
 
-	log_line(l->state == LINK_OPEN ? LOG_INFO : LOG_DEBUG, "link-closed",
-	    "peer=%s cause=%s", addr_text(l->peer, text), cause);
+	log_line(l->state == LINK_OPEN ? LOG_NOTICE : LOG_INFO, "link-closed",
+	    "peer=%s cause=%s outgoing=%d", addr_text(l->peer, text), cause,
+	    l->outgoing);
 	if (l->state == LINK_OPEN || l->outgoing) {
 		m = msg_create(MSG_LINK_DOWN);
 		m->peer = l->peer;
@@ -132,10 +134,13 @@
 	struct buffer buf = {NULL, 0};
 
 	frame_encode(m, &buf);
-	msg_destroy(m);
-	l->used_us = daemon_now().mono_us;
+	l->used_us = l->said_us = daemon_now().mono_us;
 	if (buf.len <= FRAME_MAX)
-		bufferevent_write(l->bev, buf.data, buf.len);
+		stream_write(l->stream, buf.data, buf.len);
+	else
+		log_line(LOG_ERR, "frame-too-long", "kind=%s bytes=%zu",
+		    msg_kind_name(m->kind), buf.len);
+	msg_destroy(m);
 	buffer_release(&buf);
 }
 
@@ -145,7 +150,6 @@
 	struct msg *m;
 
 	l->state = LINK_OPEN;
-	bufferevent_set_timeouts(l->bev, NULL, NULL);
 	while ((m = TAILQ_FIRST(&l->waiting)) != NULL) {
 		TAILQ_REMOVE(&l->waiting, m, entry);
 		send_message(l, m);
@@ -178,6 +182,13 @@
 	return true;
 }
 
+static bool
+is_alive_frame(const uint8_t *data, size_t len)
+{
+	return len >= FRAME_HEAD &&
+	       (data[0] | data[1] | data[2] | data[3]) == 0;
+}
+
 static enum frame_status
 take_frame(struct link *l, const uint8_t *data, size_t len, size_t *used)
 {
@@ -191,146 +202,145 @@
 			return FRAME_MALFORMED;
 		return status;
 	}
+	if (is_alive_frame(data, len)) {
+		*used = FRAME_HEAD;
+		return FRAME_OK;
+	}
 	status = frame_decode(data, len, &m, used);
 	if (status != FRAME_OK)
 		return status;
 	m->peer = l->peer;
-	l->used_us = daemon_now().mono_us;
+	l->used_us = l->heard_us;
 	task_send(l->links->daemon->decide, m);
 	return FRAME_OK;
 }
 
-/* Wait until the whole of the next frame is there. */
-static void
-expect(struct link *l, struct evbuffer *in)
-{
-	uint8_t head[FRAME_HEAD];
-	size_t want = FRAME_HEAD;
-
-	if (evbuffer_copyout(in, head, FRAME_HEAD) == FRAME_HEAD)
-		want += (size_t)head[0] << 24 | (size_t)head[1] << 16 |
-			(size_t)head[2] << 8 | head[3];
-	bufferevent_setwatermark(l->bev, EV_READ, want, 0);
-}
-
-static void
-on_read(struct bufferevent *bev, void *arg)
+/* Take whole frames; returns how many bytes they had, or -1. */
+static ssize_t
+take_frames(struct link *l, const uint8_t *data, size_t len)
 {
-	struct evbuffer *in = bufferevent_get_input(bev);
-	struct link *l = arg;
+	char text[ADDR_TEXT_LEN];
 	enum frame_status status;
-	size_t used = 0, len;
+	size_t done = 0, used = 0;
 
-	while ((len = evbuffer_get_length(in)) >= FRAME_HEAD) {
-		status = take_frame(l, evbuffer_pullup(in, -1), len, &used);
+	while (len - done >= FRAME_HEAD) {
+		status = take_frame(l, data + done, len - done, &used);
 		if (status == FRAME_SHORT)
 			break;
 		if (status != FRAME_OK) {
-			char text[ADDR_TEXT_LEN];
-
 			log_line(LOG_WARNING, "bad-frame",
 			    "peer=%s state=%d status=%d",
 			    addr_text(l->peer, text), l->state, status);
-			link_close(l, "bad-frame");
-			return;
+			return -1;
 		}
-		evbuffer_drain(in, used);
+		done += used;
 	}
-	expect(l, in);
+	return (ssize_t)done;
 }
 
-static void
-on_event(struct bufferevent *bev, short what, void *arg)
+/* The length of the frame that the buffer begins with, its head included. */
+static size_t
+frame_length(struct evbuffer *in)
 {
-	struct link *l = arg;
-	int on = 1;
+	uint8_t head[FRAME_HEAD];
 
-	if (what & BEV_EVENT_CONNECTED) {
-		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
-		    &on, sizeof(on));
-		send_hello(l);
-		return;
+	if (evbuffer_copyout(in, head, FRAME_HEAD) != FRAME_HEAD)
+		return FRAME_HEAD;
+	return FRAME_HEAD + ((size_t)head[0] << 24 | (size_t)head[1] << 16 |
+				(size_t)head[2] << 8 | head[3]);
+}
+
+static void
+on_read(void *owner, const char *data, size_t len)
+{
+	struct link *l = owner;
+	ssize_t used;
+
+	l->heard_us = daemon_now().mono_us;
+	if (evbuffer_get_length(l->in) == 0) {
+		used = take_frames(l, (const uint8_t *)data, len);
+		if (used >= 0)
+			evbuffer_add(l->in, data + used, len - (size_t)used);
+	} else {
+		evbuffer_add(l->in, data, len);
+		len = evbuffer_get_length(l->in);
+		if (len < frame_length(l->in))
+			return;
+		used = take_frames(l, evbuffer_pullup(l->in, -1), len);
+		if (used > 0)
+			evbuffer_drain(l->in, (size_t)used);
 	}
-	link_close(l, what & BEV_EVENT_TIMEOUT ? "timeout" : "lost");
+	if (used < 0)
+		link_close(l, "bad-frame");
 }
 
 static void
-set_options(int fd)
+on_closed(void *owner, enum stream_end end)
 {
-	int on = 1, ms = SEND_TIMEOUT_MS;
+	link_close(owner, end == STREAM_REFUSED ? "refused" : "lost");
+}
 
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+static void
+on_connected(void *owner)
+{
+	send_hello(owner);
 }
 
+static const struct stream_ops stream_ops = {on_read, on_closed, on_connected};
+
 static struct link *
-link_create(struct links *s, int fd, bool outgoing)
+link_create(struct links *s, bool outgoing)
 {
 	struct link *l = xcalloc(1, sizeof(*l));
-	struct timeval tv = {HANDSHAKE_S, 0};
 
 	l->links = s;
 	l->outgoing = outgoing;
-	l->used_us = daemon_now().mono_us;
+	l->begun_us = l->used_us = l->heard_us = daemon_now().mono_us;
+	l->in = evbuffer_new();
 	TAILQ_INIT(&l->waiting);
 	randombytes_buf(l->nonce, sizeof(l->nonce));
-	l->bev =
-	    bufferevent_socket_new(s->daemon->base, fd, BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(l->bev, on_read, NULL, on_event, l);
-	bufferevent_set_timeouts(l->bev, &tv, &tv);
-	bufferevent_setwatermark(l->bev, EV_READ, FRAME_HEAD, 0);
-	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+	return l;
+}
+
+static void
+link_add(struct links *s, struct link *l)
+{
 	LIST_INSERT_HEAD(&s->list, l, entry);
 	s->count++;
-	return l;
 }
 
 static void
-on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-    struct sockaddr *sa, int len, void *arg)
+on_accept(void *owner, int fd)
 {
-	struct links *s = arg;
+	struct links *s = owner;
+	struct link *l;
 
-	(void)listener;
-	(void)sa;
-	(void)len;
 	if (s->count >= s->daemon->settings->max_links) {
 		log_line(LOG_WARNING, "too-many-links", "links=%llu",
 		    (unsigned long long)s->count);
-		evutil_closesocket(fd);
+		close(fd);
 		return;
 	}
-	set_options(fd);
-	send_hello(link_create(s, fd, false));
-}
-
-static void
-fill_sockaddr(struct sockaddr_in *sin, struct addr a)
-{
-	memset(sin, 0, sizeof(*sin));
-	sin->sin_family = AF_INET;
-	sin->sin_addr.s_addr = htonl(a.ip);
-	sin->sin_port = htons(a.port);
+	l = link_create(s, false);
+	l->stream = stream_accept(s->daemon->base, fd, &stream_ops, l);
+	link_add(s, l);
+	send_hello(l);
 }
 
 static struct link *
 link_connect(struct links *s, struct addr peer)
 {
-	struct sockaddr_in sin;
-	struct link *l;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct link *l = link_create(s, true);
 
-	if (fd < 0)
-		return NULL;
-	set_options(fd);
-	l = link_create(s, fd, true);
 	l->peer = peer;
-	fill_sockaddr(&sin, peer);
-	if (bufferevent_socket_connect(
-		l->bev, (struct sockaddr *)&sin, sizeof(sin)) == 0)
-		return l;
-	link_free(l);
-	return NULL;
+	l->stream = stream_connect(s->daemon->base, peer, &stream_ops, l);
+	if (l->stream == NULL) {
+		evbuffer_free(l->in);
+		free(l);
+		return NULL;
+	}
+	link_add(s, l);
+	return l;
 }
 
 /* An open link, or else one that is being opened. */
@@ -377,10 +387,39 @@
 		return;
 	}
 	send_message(l, m);
-	if (evbuffer_get_length(bufferevent_get_output(l->bev)) > MAX_OUTPUT)
+	if (stream_pending(l->stream) > MAX_OUTPUT)
 		link_close(l, "peer-does-not-read");
 }
 
+static void
+say_alive(struct link *l, uint64_t now)
+{
+	static const uint8_t empty[FRAME_HEAD];
+
+	l->said_us = now;
+	stream_write(l->stream, empty, sizeof(empty));
+}
+
+static void
+link_sweep(struct link *l, uint64_t now)
+{
+	if (l->state != LINK_OPEN) {
+		if (now - l->begun_us > HANDSHAKE_US)
+			link_close(l, "no-handshake");
+		return;
+	}
+	if (now - l->heard_us > SILENT_US) {
+		link_close(l, "silent");
+		return;
+	}
+	if (l->outgoing && now - l->used_us > IDLE_US) {
+		link_close(l, "idle");
+		return;
+	}
+	if (now - l->said_us >= ALIVE_US)
+		say_alive(l, now);
+}
+
 static void
 on_sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -390,11 +429,8 @@
 
 	(void)fd;
 	(void)what;
-	LIST_FOREACH_SAFE (l, &s->list, entry, next) {
-		if (l->outgoing && l->state == LINK_OPEN &&
-		    now - l->used_us > IDLE_US)
-			link_close(l, "idle");
-	}
+	LIST_FOREACH_SAFE (l, &s->list, entry, next)
+		link_sweep(l, now);
 }
 
 static void
@@ -405,7 +441,7 @@
 
 	while ((l = LIST_FIRST(&s->list)) != NULL)
 		link_free(l);
-	evconnlistener_free(s->listener);
+	listener_destroy(s->listener);
 	event_free(s->sweep);
 	free(s);
 }
@@ -415,17 +451,13 @@
 struct task *
 link_task_create(struct daemon *d)
 {
+	struct timeval tv = {SWEEP_US / SEC_US, SWEEP_US % SEC_US};
 	struct links *s = xcalloc(1, sizeof(*s));
-	struct timeval tv = {SWEEP_S, 0};
-	struct sockaddr_in sin;
 	char text[ADDR_TEXT_LEN];
 
 	s->daemon = d;
 	LIST_INIT(&s->list);
-	fill_sockaddr(&sin, d->settings->link);
-	s->listener = evconnlistener_new_bind(d->base, on_accept, s,
-	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
-	    (struct sockaddr *)&sin, sizeof(sin));
+	s->listener = listener_create(d->base, d->settings->link, on_accept, s);
 	if (s->listener == NULL) {
 		log_line(LOG_ERR, "bind-failed", "port=link addr=%s",
 		    addr_text(d->settings->link, text));
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -12,11 +12,16 @@
 
 #include "config/text.h"
 #include "daemon/daemon.h"
+#include "daemon/dialect.h"
 #include "daemon/log.h"
+#include "daemon/rows.h"
+#include "platform/platform.h"
 
 #define EXIT_FATAL 128
 #define EXIT_USAGE 129
+#define MIN_DESCRIPTORS 1024 /* taken for granted */
 #define MIN_SECRET 32 /* bytes */
+#define KEY_PROOF_PERCENT 90 /* of the time in which a key must be refused */
 
 static GQuark
 daemon_error(void)
@@ -49,6 +54,11 @@
 	gchar *text;
 	gsize len;
 
+	if (d->settings->secret_file[0] == '\0') {
+		log_line(LOG_WARNING, "links-open",
+		    "cause=no-secret-file dialect=%s", d->settings->dialect);
+		return true;
+	}
 	if (!g_file_get_contents(d->settings->secret_file, &text, &len, error))
 		return false;
 	if (len < MIN_SECRET || len > SECRET_MAX) {
@@ -67,6 +77,48 @@
 	return true;
 }
 
+/* All that varies with how callers, targets and the platform are spoken to. */
+static const struct {
+	const struct dialect *dialect;
+	const struct row_protocol *rows;
+	const struct announcement *announcement;
+	const struct catalog_parser *parser;
+	const struct id_guard *guard;
+	bool needs_secret;
+} interfaces[] = {
+    {&dialect_native, &row_protocol_native, NULL, &text_parser, &guard_full,
+	true},
+    {&dialect_platform, &row_protocol_platform, &announcement_platform,
+	&catalog_parser_platform, &guard_attempt, false},
+};
+
+static bool
+find_interface(struct daemon *d, struct node_setup *setup, GError **error)
+{
+	const struct settings *s = d->settings;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(interfaces); i++) {
+		if (strcmp(s->dialect, interfaces[i].dialect->name) != 0)
+			continue;
+		d->dialect = interfaces[i].dialect;
+		d->rows = interfaces[i].rows;
+		d->announcement = interfaces[i].announcement;
+		setup->parser = interfaces[i].parser;
+		setup->guard = interfaces[i].guard;
+		if (!interfaces[i].needs_secret || s->secret_file[0] != '\0')
+			return true;
+		g_set_error(error, daemon_error(), EXIT_FATAL,
+		    "setting 'secret-file' is missing\nhint: dialect '%s' "
+		    "needs it",
+		    s->dialect);
+		return false;
+	}
+	g_set_error(error, daemon_error(), EXIT_FATAL,
+	    "dialect: unknown name '%s'\nhint: native or platform", s->dialect);
+	return false;
+}
+
 static bool
 find_tables(const struct settings *s, struct node_setup *setup, GError **error)
 {
@@ -104,8 +156,8 @@
 	setup->incarnation = daemon_now().wall_ms;
 	randombytes_buf(&setup->seed, sizeof(setup->seed));
 	setup->retrier = &retrier_tree;
-	setup->guard = &guard_full;
-	setup->parser = &text_parser;
+	name_copy(setup->domain, s->domain, sizeof(setup->domain));
+	name_copy(setup->service, s->service, sizeof(setup->service));
 	setup->seeds = s->peers;
 	setup->nseeds = s->npeers;
 	setup->max_calls = s->max_calls;
@@ -114,6 +166,11 @@
 	setup->answer_bytes = s->answer_bytes;
 	setup->default_deadline_us = s->default_deadline_ms * MSEC_US;
 	setup->max_deadline_us = s->max_deadline_ms * MSEC_US;
+	setup->announce_silent_us = s->announce_silent_ms * MSEC_US;
+	/* Word of the platform ages a little on its way here. */
+	setup->key_proof_us =
+	    s->key_revocation_ms * MSEC_US / 100 * KEY_PROOF_PERCENT;
+	setup->headroom = (double)s->headroom_percent / 100;
 }
 
 static void
@@ -140,14 +197,21 @@
 	d->platform = platform_task_create(d);
 	d->link = link_task_create(d);
 	d->operators = operators_task_create(d);
+	d->probe = probe_task_create(d);
+	if (d->announcement != NULL)
+		d->announce = announce_task_create(d);
 	d->front = front_task_create(d);
-	return d->link != NULL && d->operators != NULL && d->front != NULL;
+	return d->link != NULL && d->operators != NULL && d->front != NULL &&
+	       d->probe != NULL &&
+	       (d->announcement == NULL || d->announce != NULL);
 }
 
 static void
 stop_tasks(struct daemon *d)
 {
 	task_destroy(d->front);
+	task_destroy(d->announce);
+	task_destroy(d->probe);
 	task_destroy(d->operators);
 	task_destroy(d->link);
 	task_destroy(d->platform);
@@ -157,14 +221,16 @@
 
 /* Each caller's connection takes a descriptor. */
 static void
-raise_descriptors(void)
+raise_descriptors(struct daemon *d)
 {
 	struct rlimit lim;
 
+	d->max_descriptors = MIN_DESCRIPTORS;
 	if (getrlimit(RLIMIT_NOFILE, &lim) != 0)
 		return;
 	lim.rlim_cur = lim.rlim_max;
 	setrlimit(RLIMIT_NOFILE, &lim);
+	d->max_descriptors = lim.rlim_cur;
 }
 
 static int
@@ -241,6 +307,8 @@
 	g_option_context_free(ctx);
 	if (want_describe)
 		return describe();
+	if (path == NULL)
+		path = g_strdup(g_getenv(PLATFORM_SETTINGS_ENV));
 	if (path == NULL) {
 		fputs("usage: cranberrywayd --settings FILE\n", stderr);
 		return EXIT_USAGE;
@@ -250,8 +318,9 @@
 	s = settings_create();
 	d.settings = s;
 	randombytes_buf(d.context_key, sizeof(d.context_key));
-	raise_descriptors();
+	raise_descriptors(&d);
 	if (!load_settings(path, s, &error) ||
+	    !find_interface(&d, &setup, &error) ||
 	    !find_tables(s, &setup, &error) || !load_secret(&d, &error)) {
 		settings_destroy(s);
 		return complain(error, EXIT_FATAL);
--- /dev/null
+++ b/daemon/probe.c
@@ -0,0 +1,163 @@
+/*
+ * The ports for machines that watch this daemon: whether callers may be sent
+ * here, and its metrics.
+ */
+#include <bsd/sys/tree.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/daemon.h"
+#include "daemon/http_server.h"
+#include "daemon/log.h"
+
+#define MAX_HEADER_BYTES 8192
+#define MAX_CONNECTIONS 64
+#define TIMEOUT_US (30 * SEC_US) /* of a connection without a request */
+#define METRICS_PATH "/metrics"
+
+/* A request for metrics, which the decide task answers. */
+struct scrape {
+	RB_ENTRY(scrape) entry;
+	struct http_exchange *ex;
+	uint64_t seq;
+};
+
+RB_HEAD(scrape_tree, scrape);
+
+struct probe {
+	struct daemon *daemon;
+	struct http_server *ready;
+	struct http_server *metrics;
+	struct scrape_tree scrapes;
+	uint64_t next_seq;
+};
+
+static int
+scrape_cmp(struct scrape *a, struct scrape *b)
+{
+	return a->seq < b->seq ? -1 : a->seq > b->seq;
+}
+
+RB_PROTOTYPE(scrape_tree, scrape, entry, scrape_cmp);
+RB_GENERATE(scrape_tree, scrape, entry, scrape_cmp);
+
+static void
+reply(struct http_exchange *ex, int status, const struct buffer *body)
+{
+	static const char plain[] = "Content-Type: text/plain\r\n";
+	struct http_answer a = {.status = status};
+
+	if (body != NULL) {
+		a.headers = plain;
+		a.headers_len = sizeof(plain) - 1;
+		a.body = body->data;
+		a.body_len = body->len;
+	}
+	http_exchange_answer(ex, &a);
+}
+
+static void
+begin_scrape(struct probe *p, struct http_exchange *ex)
+{
+	struct scrape *s = xcalloc(1, sizeof(*s));
+	struct msg *m = msg_create(MSG_OPS);
+
+	s->ex = ex;
+	s->seq = DAEMON_PROBE_SEQ | ++p->next_seq;
+	http_exchange_set_owner(ex, s);
+	RB_INSERT(scrape_tree, &p->scrapes, s);
+	m->seq = s->seq;
+	m->u.ops.verb = OPS_STATUS;
+	task_send(p->daemon->decide, m);
+}
+
+static void
+on_request(void *owner, struct http_exchange *ex)
+{
+	const char *url = http_message_url(http_exchange_request(ex));
+	struct probe *p = owner;
+
+	if (strcmp(url, p->daemon->settings->ready_path) == 0)
+		reply(ex, p->daemon->ready ? 200 : 503, NULL);
+	else if (strcmp(url, METRICS_PATH) == 0)
+		begin_scrape(p, ex);
+	else
+		reply(ex, 404, NULL);
+}
+
+static void
+scrape_free(struct probe *p, struct scrape *s)
+{
+	RB_REMOVE(scrape_tree, &p->scrapes, s);
+	free(s);
+}
+
+static void
+on_gone(void *owner, struct http_exchange *ex)
+{
+	scrape_free(owner, http_exchange_owner(ex));
+}
+
+static const struct http_server_ops server_ops = {on_request, on_gone};
+
+static void
+receive(void *state, struct msg *m)
+{
+	struct probe *p = state;
+	struct scrape want, *s;
+
+	want.seq = m->seq;
+	s = RB_FIND(scrape_tree, &p->scrapes, &want);
+	if (s != NULL) {
+		reply(s->ex, m->u.ops.status, &m->u.ops.text);
+		scrape_free(p, s);
+	}
+	msg_destroy(m);
+}
+
+static void
+destroy(void *state)
+{
+	struct probe *p = state;
+	struct scrape *s;
+
+	http_server_destroy(p->ready);
+	http_server_destroy(p->metrics);
+	while ((s = RB_ROOT(&p->scrapes)) != NULL)
+		scrape_free(p, s);
+	free(p);
+}
+
+static const struct task_ops ops = {receive, destroy};
+
+/* An address that is not set needs no port. */
+static bool
+serve(struct probe *p, struct addr at, struct http_server **server)
+{
+	struct http_server_settings set = {
+	    .limits = {MAX_HEADER_BYTES, 0},
+	    .header_timeout_us = TIMEOUT_US,
+	    .idle_timeout_us = TIMEOUT_US,
+	    .max_connections = MAX_CONNECTIONS,
+	};
+
+	if (at.port == 0)
+		return true;
+	*server = http_server_create(p->daemon->base, at, &set, &server_ops, p);
+	return *server != NULL;
+}
+
+struct task *
+probe_task_create(struct daemon *d)
+{
+	struct probe *p = xcalloc(1, sizeof(*p));
+
+	p->daemon = d;
+	RB_INIT(&p->scrapes);
+	if (!serve(p, d->settings->ready, &p->ready) ||
+	    !serve(p, d->settings->metrics, &p->metrics)) {
+		destroy(p);
+		return NULL;
+	}
+	return task_create(d->base, "probe", &ops, p);
+}
--- /dev/null
+++ b/daemon/stream.c
@@ -0,0 +1,313 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/event_struct.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "daemon/log.h"
+#include "daemon/stream.h"
+
+#define READ_BYTES 65536 /* read at once */
+#define SEND_TIMEOUT_MS 2000 /* unacknowledged for so long: lost */
+#define LISTEN_BACKLOG 1024
+
+struct stream {
+	const struct stream_ops *ops;
+	void *owner;
+	int fd;
+	bool connecting;
+	bool write_armed;
+	bool shut; /* no more writing once the output is empty */
+	struct event read_ev;
+	struct event write_ev;
+	struct event flush_ev;
+	struct evbuffer *out;
+	uint64_t sent;
+};
+
+/* One loop and one thread: all streams share it. */
+static char read_buffer[READ_BYTES];
+
+static void
+set_options(int fd)
+{
+	int on = 1, ms = SEND_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+static void
+on_read(evutil_socket_t fd, short what, void *arg)
+{
+	struct stream *st = arg;
+	ssize_t n;
+
+	(void)what;
+	n = read(fd, read_buffer, sizeof(read_buffer));
+	if (n > 0) {
+		st->ops->read(st->owner, read_buffer, (size_t)n);
+		return;
+	}
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	event_del(&st->read_ev);
+	st->ops->closed(st->owner, n == 0 ? STREAM_EOF : STREAM_RESET);
+}
+
+static void
+arm_write(struct stream *st, bool armed)
+{
+	if (st->write_armed == armed)
+		return;
+	st->write_armed = armed;
+	if (armed)
+		event_add(&st->write_ev, NULL);
+	else
+		event_del(&st->write_ev);
+}
+
+/* An error while writing shows up when reading; the owner hears it there. */
+static void
+write_some(struct stream *st)
+{
+	int n;
+
+	while (evbuffer_get_length(st->out) > 0) {
+		n = evbuffer_write(st->out, st->fd);
+		if (n <= 0)
+			break;
+		st->sent += (uint64_t)n;
+	}
+	if (evbuffer_get_length(st->out) > 0) {
+		if (errno != EAGAIN && errno != EINTR) {
+			evbuffer_drain(st->out, evbuffer_get_length(st->out));
+			shutdown(st->fd, SHUT_RDWR);
+			arm_write(st, false);
+			return;
+		}
+		arm_write(st, true);
+		return;
+	}
+	arm_write(st, false);
+	if (st->shut)
+		shutdown(st->fd, SHUT_WR);
+}
+
+static bool
+finish_connect(struct stream *st)
+{
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	getsockopt(st->fd, SOL_SOCKET, SO_ERROR, &err, &len);
+	if (err != 0) {
+		arm_write(st, false);
+		st->ops->closed(st->owner, STREAM_REFUSED);
+		return false;
+	}
+	st->connecting = false;
+	event_add(&st->read_ev, NULL);
+	return true;
+}
+
+static void
+on_write(evutil_socket_t fd, short what, void *arg)
+{
+	struct stream *st = arg;
+
+	(void)fd;
+	(void)what;
+	if (st->connecting) {
+		if (!finish_connect(st))
+			return;
+		if (st->ops->connected != NULL)
+			st->ops->connected(st->owner);
+	}
+	write_some(st);
+}
+
+static void
+on_flush(evutil_socket_t fd, short what, void *arg)
+{
+	struct stream *st = arg;
+
+	(void)fd;
+	(void)what;
+	if (!st->connecting && !st->write_armed)
+		write_some(st);
+}
+
+static struct stream *
+stream_create(
+    struct event_base *base, int fd, const struct stream_ops *ops, void *owner)
+{
+	struct stream *st = xcalloc(1, sizeof(*st));
+
+	st->ops = ops;
+	st->owner = owner;
+	st->fd = fd;
+	st->out = evbuffer_new();
+	if (st->out == NULL)
+		abort();
+	event_assign(&st->read_ev, base, fd, EV_READ | EV_PERSIST, on_read, st);
+	event_assign(
+	    &st->write_ev, base, fd, EV_WRITE | EV_PERSIST, on_write, st);
+	event_assign(&st->flush_ev, base, -1, 0, on_flush, st);
+	set_options(fd);
+	return st;
+}
+
+struct stream *
+stream_accept(
+    struct event_base *base, int fd, const struct stream_ops *ops, void *owner)
+{
+	struct stream *st = stream_create(base, fd, ops, owner);
+
+	event_add(&st->read_ev, NULL);
+	return st;
+}
+
+static void
+fill_sockaddr(struct sockaddr_in *sin, struct addr a)
+{
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	sin->sin_addr.s_addr = htonl(a.ip);
+	sin->sin_port = htons(a.port);
+}
+
+struct stream *
+stream_connect(struct event_base *base, struct addr to,
+    const struct stream_ops *ops, void *owner)
+{
+	struct sockaddr_in sin;
+	struct stream *st;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0) {
+		log_line(LOG_ERR, "socket-failed", "error=%s", strerror(errno));
+		return NULL;
+	}
+	fill_sockaddr(&sin, to);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	st = stream_create(base, fd, ops, owner);
+	st->connecting = true;
+	arm_write(st, true);
+	return st;
+}
+
+void
+stream_destroy(struct stream *st)
+{
+	event_del(&st->read_ev);
+	event_del(&st->write_ev);
+	event_del(&st->flush_ev);
+	evbuffer_free(st->out);
+	close(st->fd);
+	free(st);
+}
+
+struct evbuffer *
+stream_output(struct stream *st)
+{
+	return st->out;
+}
+
+void
+stream_flush(struct stream *st)
+{
+	event_active(&st->flush_ev, EV_TIMEOUT, 0);
+}
+
+void
+stream_write(struct stream *st, const void *data, size_t len)
+{
+	evbuffer_add(st->out, data, len);
+	stream_flush(st);
+}
+
+void
+stream_shutdown(struct stream *st)
+{
+	st->shut = true;
+	stream_flush(st);
+}
+
+size_t
+stream_pending(struct stream *st)
+{
+	return evbuffer_get_length(st->out);
+}
+
+uint64_t
+stream_sent(const struct stream *st)
+{
+	return st->sent;
+}
+
+void
+stream_pause(struct stream *st, bool paused)
+{
+	if (st->connecting)
+		return;
+	if (paused)
+		event_del(&st->read_ev);
+	else
+		event_add(&st->read_ev, NULL);
+}
+
+struct listener {
+	struct evconnlistener *ev;
+	void (*accepted)(void *owner, int fd);
+	void *owner;
+};
+
+static void
+on_accept(struct evconnlistener *ev, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct listener *l = arg;
+
+	(void)ev;
+	(void)sa;
+	(void)len;
+	l->accepted(l->owner, fd);
+}
+
+struct listener *
+listener_create(struct event_base *base, struct addr at,
+    void (*accepted)(void *owner, int fd), void *owner)
+{
+	struct listener *l = xcalloc(1, sizeof(*l));
+	struct sockaddr_in sin;
+
+	l->accepted = accepted;
+	l->owner = owner;
+	fill_sockaddr(&sin, at);
+	l->ev = evconnlistener_new_bind(base, on_accept, l,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	if (l->ev != NULL)
+		return l;
+	free(l);
+	return NULL;
+}
+
+void
+listener_destroy(struct listener *l)
+{
+	if (l == NULL)
+		return;
+	evconnlistener_free(l->ev);
+	free(l);
+}
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -46,6 +46,8 @@
 	return take_context(&f->context, p->context) &&
 	       take_string(f->service, sizeof(f->service), p->service) &&
 	       take_string(f->id, sizeof(f->id), p->id) &&
+	       take_string(f->caller, sizeof(f->caller), p->caller) &&
+	       take_string(f->request.host, HOST_LEN, p->host) &&
 	       take_string(f->request.method, METHOD_LEN, p->method) &&
 	       take_string(f->request.path, PATH_LEN, p->path);
 }
@@ -69,6 +71,7 @@
 	r->threshold.level = p->threshold_level;
 	r->load = p->load;
 	r->leaving = p->leaving;
+	r->reached = p->reached;
 	return true;
 }
 
@@ -200,46 +203,65 @@
 	return true;
 }
 
+static const struct {
+	Link__Frame__BodyCase body;
+	enum msg_kind kind;
+} kinds[] = {
+    {LINK__FRAME__BODY_FORWARD, MSG_FORWARD},
+    {LINK__FRAME__BODY_REPLY, MSG_REPLY},
+    {LINK__FRAME__BODY_CANCEL, MSG_CANCEL},
+    {LINK__FRAME__BODY_ASK_FATE, MSG_ASK_FATE},
+    {LINK__FRAME__BODY_FATE, MSG_FATE},
+    {LINK__FRAME__BODY_MEMBERS_ASK, MSG_MEMBERS_ASK},
+    {LINK__FRAME__BODY_MEMBERS, MSG_MEMBERS},
+    {LINK__FRAME__BODY_HANDOVER, MSG_HANDOVER},
+    {LINK__FRAME__BODY_CONFIG_ASK, MSG_CONFIG_ASK},
+    {LINK__FRAME__BODY_CONFIG, MSG_CONFIG},
+    {LINK__FRAME__BODY_SHARE_ASK, MSG_SHARE_ASK},
+    {LINK__FRAME__BODY_SHARE, MSG_SHARE},
+};
+
+/* The message that a frame's body is for, or NULL. */
+static struct msg *
+message_for(Link__Frame__BodyCase body)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		if (kinds[i].body == body)
+			return msg_create(kinds[i].kind);
+	}
+	return NULL;
+}
+
 static bool
 take_body(struct msg *m, const Link__Frame *f)
 {
 	switch (f->body_case) {
 	case LINK__FRAME__BODY_FORWARD:
-		m->kind = MSG_FORWARD;
 		return take_forward(&m->u.forward, f->forward);
 	case LINK__FRAME__BODY_REPLY:
-		m->kind = MSG_REPLY;
 		return take_reply(&m->u.reply, f->reply);
 	case LINK__FRAME__BODY_CANCEL:
-		m->kind = MSG_CANCEL;
 		m->queued_only = f->cancel->queued_only;
 		return true;
 	case LINK__FRAME__BODY_ASK_FATE:
-		m->kind = MSG_ASK_FATE;
 		return take_fate(&m->u.fate, f->ask_fate);
 	case LINK__FRAME__BODY_FATE:
-		m->kind = MSG_FATE;
 		return take_fate(&m->u.fate, f->fate);
 	case LINK__FRAME__BODY_MEMBERS_ASK:
-		m->kind = MSG_MEMBERS_ASK;
 		return take_members_ask(&m->u.members_ask, f->members_ask);
 	case LINK__FRAME__BODY_MEMBERS:
-		m->kind = MSG_MEMBERS;
 		return take_members(&m->u.members, f->members);
 	case LINK__FRAME__BODY_HANDOVER:
-		m->kind = MSG_HANDOVER;
 		return take_handover(&m->u.handover, f->handover);
 	case LINK__FRAME__BODY_CONFIG_ASK:
-		m->kind = MSG_CONFIG_ASK;
 		return take_config(&m->u.config, f->config_ask);
 	case LINK__FRAME__BODY_CONFIG:
-		m->kind = MSG_CONFIG;
 		return take_config(&m->u.config, f->config);
 	case LINK__FRAME__BODY_SHARE_ASK:
-		m->kind = MSG_SHARE_ASK;
 		return take_share(&m->u.share, f->share_ask);
 	case LINK__FRAME__BODY_SHARE:
-		m->kind = MSG_SHARE;
 		return take_share(&m->u.share, f->share);
 	default:
 		return false;
@@ -283,9 +305,10 @@
 
 	if (f == NULL)
 		return status;
-	m = msg_create(MSG_CANCEL);
-	m->seq = f->seq;
-	if (!take_body(m, f)) {
+	m = message_for(f->body_case);
+	if (m != NULL)
+		m->seq = f->seq;
+	if (m == NULL || !take_body(m, f)) {
 		msg_destroy(m);
 		status = FRAME_MALFORMED;
 	} else {
--- a/wire/frame_encode.c
+++ b/wire/frame_encode.c
@@ -55,6 +55,8 @@
 	link__forward__init(p);
 	pack_context(ctx, &f->context);
 	p->service = borrow_string(f->service);
+	p->caller = borrow_string(f->caller);
+	p->host = borrow_string(f->request.host);
 	p->id = borrow_string(f->id);
 	p->idempotent = f->idempotent;
 	p->incarnation = f->incarnation;
@@ -82,6 +84,7 @@
 	p->threshold_level = r->threshold.level;
 	p->load = r->load;
 	p->leaving = r->leaving;
+	p->reached = r->reached;
 }
 
 static void
--- a/wire/httpmap.c
+++ b/wire/httpmap.c
@@ -8,6 +8,7 @@
 {
 	switch (reason) {
 	case REASON_BAD_REQUEST:
+	case REASON_NO_ROUTE:
 		return 400;
 	case REASON_NO_KEY:
 		return 401;
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -900,7 +900,7 @@
   (ProtobufCMessageInit) link__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__forward__field_descriptors[10] =
+static const ProtobufCFieldDescriptor link__forward__field_descriptors[12] =
 {
   {
     "service",
@@ -1022,12 +1022,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "caller",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Forward, caller),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Forward, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__forward__field_indices_by_name[] = {
   9,   /* field[9] = body */
+  10,   /* field[10] = caller */
   4,   /* field[4] = config_version */
   5,   /* field[5] = context */
   8,   /* field[8] = headers */
+  11,   /* field[11] = host */
   1,   /* field[1] = id */
   2,   /* field[2] = idempotent */
   3,   /* field[3] = incarnation */
@@ -1038,7 +1064,7 @@
 static const ProtobufCIntRange link__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor link__forward__descriptor =
 {
@@ -1048,14 +1074,14 @@
   "Link__Forward",
   "link",
   sizeof(Link__Forward),
-  10,
+  12,
   link__forward__field_descriptors,
   link__forward__field_indices_by_name,
   1,  link__forward__number_ranges,
   (ProtobufCMessageInit) link__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__reply__field_descriptors[12] =
+static const ProtobufCFieldDescriptor link__reply__field_descriptors[13] =
 {
   {
     "status",
@@ -1201,6 +1227,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reached",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Reply, reached),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__reply__field_indices_by_name[] = {
   5,   /* field[5] = allowance */
@@ -1208,6 +1246,7 @@
   3,   /* field[3] = headers */
   11,   /* field[11] = leaving */
   10,   /* field[10] = load */
+  12,   /* field[12] = reached */
   2,   /* field[2] = reason */
   7,   /* field[7] = retry_after_ms */
   0,   /* field[0] = status */
@@ -1219,7 +1258,7 @@
 static const ProtobufCIntRange link__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor link__reply__descriptor =
 {
@@ -1229,7 +1268,7 @@
   "Link__Reply",
   "link",
   sizeof(Link__Reply),
-  12,
+  13,
   link__reply__field_descriptors,
   link__reply__field_indices_by_name,
   1,  link__reply__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -92,10 +92,12 @@
   char *path;
   ProtobufCBinaryData headers;
   ProtobufCBinaryData body;
+  char *caller;
+  char *host;
 };
 #define LINK__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__forward__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Link__Reply
@@ -113,10 +115,11 @@
   uint32_t threshold_level;
   uint32_t load;
   protobuf_c_boolean leaving;
+  protobuf_c_boolean reached;
 };
 #define LINK__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__reply__descriptor) \
-    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Link__Cancel
