membership: a leaving target stays out after a restart

Ruled out: a clock that went back (born was the same). Change: the start and number of the last announcement are kept whether or not there is a target.

--- a/core/membership.c
+++ b/core/membership.c
@@ -253,7 +253,7 @@
 static bool
 is_old(const struct local_target *t, const struct announce *a)
 {
-	if (!t->present || a->id[0] == '\0')
+	if (t->id[0] == '\0' || a->id[0] == '\0')
 		return false;
 	if (strcmp(a->id, t->id) != 0)
 		return a->born_ms != 0 && a->born_ms < t->born_ms;
@@ -274,6 +274,9 @@
     struct local_target *t, const struct announce *a, struct instant now)
 {
 	t->heard_us = now.mono_us;
+	name_copy(t->id, a->id, sizeof(t->id));
+	if (a->born_ms != 0)
+		t->born_ms = a->born_ms;
 	if (a->seq != 0)
 		t->announce_seq = a->seq;
 }
@@ -294,6 +297,7 @@
 		if (t->present && is_new_start(t, a))
 			return;
 		note_announced(t, a, now);
+		t->leaving = t->leaving || !t->present;
 		if (a->daemon_stays)
 			membership_leave(n, now, out);
 		else
@@ -303,7 +307,7 @@
 	}
 	if (n->draining)
 		return;
-	if (!t->present || is_new_start(t, a) || t->silent) {
+	if (is_new_start(t, a) || t->silent || (!t->present && !t->leaving)) {
 		t->announce_seq = 0;
 		target_start(n, a);
 		membership_join(n, membership_group(n, a->service), now, out);
