shed: order calls by both ranks, and let each wait by its goal

Ruled out: too few slots for nested calls (they need 119 of 172). Change: importance combines the organisation's and the route's rank; calls that targets make come first; a call waits a quarter of the time to its goal (shedder 'goal'); a token is waited for an eighth of it.

--- a/config/settings.c
+++ b/config/settings.c
@@ -97,8 +97,8 @@
     {"limiter", SETTING_NAME, AT(limiter), false, 0, 0, 0, "slots", "name",
 	"limit of the local target: slots, gradient, aimd or fixed"},
     {"shedder", SETTING_NAME, AT(shedder), false, 0, 0, 0, "policy", "name",
-	"queue: policy (as the operators' text weighs), recovery, goodput or "
-	"fifo"},
+	"queue: policy (as the operators' text weighs), recovery, goodput, "
+	"goal or fifo"},
 };
 
 #define NSETTINGS (sizeof(table) / sizeof(table[0]))
--- a/core/attempt.c
+++ b/core/attempt.c
@@ -64,6 +64,16 @@
 	}
 }
 
+static uint64_t
+goal_left_ms(const struct entry_call *c, struct instant now)
+{
+	uint64_t end = c->begun_us + c->goal_us;
+
+	return c->goal_us != 0 && end > now.mono_us
+		   ? (end - now.mono_us) / MSEC_US
+		   : 0;
+}
+
 static void
 emit_forward(struct node *n, struct entry_call *c, struct member *m,
     struct instant now, struct msg_list *out)
@@ -88,6 +98,7 @@
 	f->config_version = n->conf.version;
 	f->context = c->context;
 	f->context.deadline_ms = (c->deadline_us - now.mono_us) / MSEC_US;
+	f->context.goal_ms = goal_left_ms(c, now);
 	f->context.allowance =
 	    n->setup.retrier->share(c->job != 0, c->allowance);
 	c->allowance -= f->context.allowance;
--- a/core/control.c
+++ b/core/control.c
@@ -12,8 +12,9 @@
 #define CLAIM_AGAIN_US (2 * SEC_US)
 #define SETTLE_US (QUOTA_TTL_US + 2 * QUOTA_MARGIN_US)
 #define STALE_US (20 * SEC_US) /* unconfirmed for so long: read ourselves */
-#define CHILD_STALE_US (2500 * MSEC_US) /* the same for children of the root   \
-					 */
+#define CHILD_STALE_US                                                         \
+	(2500 * MSEC_US) /* the same for children of the root                  \
+			  */
 #define FOLLOW_MS 1000 /* a read waits so long for a new version */
 #define FOLLOW_LOST_US (4 * SEC_US) /* no answer by then: ask again */
 #define ROOT_READ_US (2 * SEC_US) /* between looks whether we are the root */
--- a/core/entry.c
+++ b/core/entry.c
@@ -10,7 +10,9 @@
 #include "core/hash.h"
 #include "core/node_impl.h"
 
-#define TOKEN_WAIT_US (400 * MSEC_US) /* for a token of the rate */
+#define TOKEN_WAIT_US (400 * MSEC_US) /* for a token of the rate, at most */
+#define QUICK_PART 8 /* one part in so many of a goal: a refusal costs little  \
+		      */
 #define RETRY_AFTER_MS 1000 /* told to callers who are refused */
 
 static int
@@ -138,7 +140,8 @@
 			c->keyed = true;
 			c->metered = org->rate > 0;
 			if (org->has_importance)
-				c->context.importance = org->importance;
+				c->context.importance = importance_of_both(
+				    org->importance, route->importance);
 		}
 		return true;
 	}
@@ -255,10 +258,24 @@
 static struct service *
 choose_service(struct node *n, const struct route *r)
 {
+	if (r->service != NULL)
+		return r->service;
 	return route_service(
 	    r, (double)rng_below(&n->rng, UINT32_MAX) / (double)UINT32_MAX);
 }
 
+/*
+ * Targets of some interfaces do not say for which run they call: a call
+ * without a key from a host whose target is at work is taken for one.
+ */
+static bool
+is_nested(
+    const struct node *n, const struct entry_call *c, const struct route *r)
+{
+	return n->setup.guard->any_member && !c->keyed && r->open &&
+	       n->target.running > 0;
+}
+
 /* All checks that need no other daemon. */
 static bool
 admit(
@@ -296,6 +313,8 @@
 	if (c->call.has_context ? !check_context(n, c, service, &f->reason)
 				: !check_key(n, c, r, &f->reason))
 		return false;
+	if (is_nested(n, c, r))
+		c->context.importance = IMPORTANCE_NESTED;
 	if (c->job != 0 && r->importance > c->context.importance)
 		c->context.importance = r->importance;
 	if (n->setup.guard->any_member && c->call.id[0] != '\0')
@@ -321,6 +340,15 @@
 	c->wake_us = until_us < c->deadline_us ? until_us : c->deadline_us;
 }
 
+/* A caller who is refused quickly can still come back in time. */
+static uint64_t
+token_wait(const struct entry_call *c)
+{
+	uint64_t quick = c->goal_us / QUICK_PART;
+
+	return c->goal_us != 0 && quick < TOKEN_WAIT_US ? quick : TOKEN_WAIT_US;
+}
+
 /* Pay for the call, or wait for a token. */
 static void
 pay(struct node *n, struct entry_call *c, struct instant now,
@@ -333,7 +361,7 @@
 		return;
 	}
 	n->counters.values[COUNT_TOKEN_WAITS]++;
-	entry_wait(c, ENTRY_TOKEN, now.mono_us + TOKEN_WAIT_US);
+	entry_wait(c, ENTRY_TOKEN, now.mono_us + token_wait(c));
 	control_shortage(n, now, out);
 }
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -75,6 +75,8 @@
 	enum importance importance;
 	uint8_t level; /* 0 goes first among its class when shedding */
 	uint64_t deadline_ms; /* left to run when the message is sent */
+	uint64_t
+	    goal_ms; /* left until an answer is worth less; 0: none or past */
 	uint32_t allowance; /* extra tries that came along */
 	uint64_t job; /* the daemon's number of the calling job */
 };
--- a/core/serve.c
+++ b/core/serve.c
@@ -10,6 +10,8 @@
 #include "core/hash.h"
 #include "core/node_impl.h"
 
+#define PATIENCE_PART 4 /* a call waits one part in so many of its goal */
+#define PATIENCE_MIN_US (25 * MSEC_US) /* whatever is left of the goal */
 #define MEAN_SMOOTHING 8 /* one part in so many comes from the last call */
 
 static int
@@ -264,6 +266,20 @@
 	}
 }
 
+/*
+ * How long a call may wait here.  Refused soon, its caller can come back in
+ * time; a nested call that is refused wastes the run that made it.
+ */
+static uint64_t
+patience(const struct call_context *c)
+{
+	uint64_t us = c->goal_ms * MSEC_US / PATIENCE_PART;
+
+	if (c->importance == IMPORTANCE_NESTED)
+		return 0;
+	return us > PATIENCE_MIN_US ? us : PATIENCE_MIN_US;
+}
+
 static struct job *
 job_create(struct node *n, struct msg *msg, struct ledger_record *rec,
     struct instant now)
@@ -282,6 +298,7 @@
 	j->item.importance = j->forward.context.importance;
 	j->item.level = j->forward.context.level;
 	j->item.deadline_us = j->deadline_us;
+	j->item.patience_us = patience(&j->forward.context);
 	name_copy(j->item.org, j->forward.context.org, sizeof(j->item.org));
 	RB_INSERT(job_tree, &n->jobs, j);
 	n->njobs++;
@@ -313,6 +330,24 @@
 	    (j->deadline_us - now.mono_us) / MSEC_US + 1;
 }
 
+static void
+refuse_expired(struct node *n, struct shed_items *expired, struct instant now,
+    struct msg_list *out)
+{
+	struct shed_item *it;
+	struct job *j;
+
+	while ((it = TAILQ_FIRST(expired)) != NULL) {
+		TAILQ_REMOVE(expired, it, entry);
+		j = it->owner;
+		refuse_job(n, j,
+		    now.mono_us + n->target.mean_us >= j->deadline_us
+			? REASON_DEADLINE
+			: REASON_SHED,
+		    now, out);
+	}
+}
+
 /* Start what the limit allows, and refuse what waited too long. */
 static void
 pump(struct node *n, struct instant now, struct msg_list *out)
@@ -320,7 +355,6 @@
 	struct shed_items expired = TAILQ_HEAD_INITIALIZER(expired);
 	struct local_target *t = &n->target;
 	struct shed_item *it;
-	struct job *j;
 
 	while (t->running < limit_now(&t->limit)) {
 		it = shed_take(t->shed, now, t->mean_us, &expired);
@@ -328,14 +362,7 @@
 			break;
 		start_job(n, it->owner, now, out);
 	}
-	while ((it = TAILQ_FIRST(&expired)) != NULL) {
-		TAILQ_REMOVE(&expired, it, entry);
-		j = it->owner;
-		refuse_job(n, j,
-		    now.mono_us + t->mean_us >= j->deadline_us ? REASON_DEADLINE
-							       : REASON_SHED,
-		    now, out);
-	}
+	refuse_expired(n, &expired, now, out);
 }
 
 static bool
@@ -516,20 +543,14 @@
 	}
 }
 
-/* A call whose time is over is told so, also while nothing may start. */
+/* Calls that have waited too long are told so, also while none may start. */
 static void
 refuse_overdue(struct node *n, struct instant now, struct msg_list *out)
 {
-	struct job *j, *next;
+	struct shed_items expired = TAILQ_HEAD_INITIALIZER(expired);
 
-	if (shed_count(n->target.shed) == 0)
-		return;
-	RB_FOREACH_SAFE (j, job_tree, &n->jobs, next) {
-		if (j->started_us != 0 || now.mono_us < j->deadline_us)
-			continue;
-		shed_remove(n->target.shed, &j->item);
-		refuse_job(n, j, REASON_DEADLINE, now, out);
-	}
+	shed_expire(n->target.shed, now, n->target.mean_us, &expired);
+	refuse_expired(n, &expired, now, out);
 }
 
 void
--- a/core/shed.c
+++ b/core/shed.c
@@ -32,10 +32,12 @@
 };
 
 const struct shedder shedder_recovery = {
-    "recovery", true, true, true, true, 100 * MSEC_US};
+    "recovery", true, true, true, true, 100 * MSEC_US, false};
 const struct shedder shedder_goodput = {
-    "goodput", true, true, false, true, 3 * SEC_US};
-const struct shedder shedder_fifo = {"fifo", false, false, false, false, 0};
+    "goodput", true, true, false, true, 3 * SEC_US, false};
+const struct shedder shedder_fifo = {
+    "fifo", false, false, false, false, 0, false};
+const struct shedder shedder_goal = {"goal", true, true, false, false, 0, true};
 
 struct shed *
 shed_create(const struct shedder *shedder, size_t max_items)
@@ -177,6 +179,9 @@
 {
 	uint64_t waited = now.mono_us - it->queued_us;
 
+	if (s->shedder->by_goal)
+		return it->deadline_us <= now.mono_us + service_us / 2 ||
+		       (it->patience_us != 0 && waited > it->patience_us);
 	if (it->deadline_us <= now.mono_us + service_us && s->shedder->adaptive)
 		return true;
 	if (it->importance == IMPORTANCE_HIGH || s->shedder->wait_us == 0)
@@ -214,6 +219,39 @@
 	return NULL;
 }
 
+static void
+flow_expire(struct shed *s, struct shed_flow *f, struct instant now,
+    uint64_t service_us, struct shed_items *expired)
+{
+	size_t left = f->count;
+	struct shed_item *it, *next;
+
+	/* The flow goes away with its last item. */
+	for (it = TAILQ_FIRST(&f->items); left-- > 0; it = next) {
+		next = TAILQ_NEXT(it, entry);
+		if (!is_late(s, it, now, service_us))
+			continue;
+		shed_remove(s, it);
+		TAILQ_INSERT_TAIL(expired, it, entry);
+		s->refused = true;
+	}
+}
+
+void
+shed_expire(struct shed *s, struct instant now, uint64_t service_us,
+    struct shed_items *expired)
+{
+	struct shed_flow *f, *next;
+	int i;
+
+	if (s->count == 0)
+		return;
+	for (i = 0; i < IMPORTANCE_COUNT; i++) {
+		TAILQ_FOREACH_SAFE (f, &s->classes[i], entry, next)
+			flow_expire(s, f, now, service_us, expired);
+	}
+}
+
 struct shed_item *
 shed_take(struct shed *s, struct instant now, uint64_t service_us,
     struct shed_items *expired)
--- a/core/shed.h
+++ b/core/shed.h
@@ -30,6 +30,8 @@
 	enum importance importance;
 	uint8_t level;
 	uint64_t queued_us;
+	uint64_t
+	    patience_us; /* may wait so long by its own goal; 0: any time */
 	uint64_t deadline_us;
 	void *owner;
 };
@@ -45,12 +47,15 @@
 	bool newest; /* the newest of a queue goes first in overload */
 	bool adaptive; /* refuse early by threshold */
 	uint64_t wait_us; /* a call that waited longer is refused; 0: never */
+	bool by_goal; /* each call waits as its own goal allows */
 };
 
 /* Each deployment's weighing, and what is usual without a layer. */
 extern const struct shedder shedder_recovery;
 extern const struct shedder shedder_goodput;
 extern const struct shedder shedder_fifo;
+/* Each call waits a part of the time to its goal; nested ones to the end. */
+extern const struct shedder shedder_goal;
 
 struct shed *shed_create(const struct shedder *, size_t max_items);
 void shed_destroy(struct shed *);
@@ -69,6 +74,9 @@
  */
 struct shed_item *shed_take(struct shed *, struct instant now,
     uint64_t service_us, struct shed_items *expired);
+/* Move all calls that have waited too long to the list. */
+void shed_expire(struct shed *, struct instant now, uint64_t service_us,
+    struct shed_items *expired);
 /* Take out a call that waits. */
 void shed_remove(struct shed *, struct shed_item *);
 size_t shed_count(const struct shed *);
--- a/core/types.c
+++ b/core/types.c
@@ -5,6 +5,12 @@
 #include "core/hash.h"
 #include "core/types.h"
 
+enum importance
+importance_of_both(enum importance org, enum importance route)
+{
+	return (enum importance)(org * (IMPORTANCE_HIGH + 1) + route);
+}
+
 bool
 addr_equal(struct addr a, struct addr b)
 {
--- a/core/types.h
+++ b/core/types.h
@@ -42,13 +42,19 @@
 	size_t len;
 };
 
+/*
+ * A route has one of the first three.  Where organisations have one too,
+ * importance_of_both() orders calls by the organisation's, then the route's.
+ */
 enum importance {
 	IMPORTANCE_LOW,
 	IMPORTANCE_NORMAL,
 	IMPORTANCE_HIGH,
+	IMPORTANCE_NESTED = 9, /* made by a target: refusing wastes its run */
 	IMPORTANCE_COUNT,
 };
 
+enum importance importance_of_both(enum importance org, enum importance route);
 bool addr_equal(struct addr, struct addr);
 int addr_cmp(struct addr, struct addr);
 uint64_t addr_hash(struct addr);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -127,7 +127,7 @@
 	static const struct limiter *const limiters[] = {
 	    &limiter_slots, &limiter_gradient, &limiter_aimd, &limiter_fixed};
 	static const struct shedder *const shedders[] = {
-	    &shedder_recovery, &shedder_goodput, &shedder_fifo};
+	    &shedder_recovery, &shedder_goodput, &shedder_fifo, &shedder_goal};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(balancers); i++)
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -32,6 +32,7 @@
 	c->deadline_ms = p->deadline_ms;
 	c->allowance = p->allowance;
 	c->job = p->job;
+	c->goal_ms = p->goal_ms;
 	return take_string(c->org, sizeof(c->org), p->org);
 }
 
--- a/wire/frame_encode.c
+++ b/wire/frame_encode.c
@@ -47,6 +47,7 @@
 	p->deadline_ms = c->deadline_ms;
 	p->allowance = c->allowance;
 	p->job = c->job;
+	p->goal_ms = c->goal_ms;
 }
 
 static void
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -784,7 +784,7 @@
   (ProtobufCMessageInit) link__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__context__field_descriptors[7] =
+static const ProtobufCFieldDescriptor link__context__field_descriptors[8] =
 {
   {
     "tree",
@@ -870,10 +870,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "goal_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Context, goal_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__context__field_indices_by_name[] = {
   5,   /* field[5] = allowance */
   4,   /* field[4] = deadline_ms */
+  7,   /* field[7] = goal_ms */
   2,   /* field[2] = importance */
   6,   /* field[6] = job */
   3,   /* field[3] = level */
@@ -883,7 +896,7 @@
 static const ProtobufCIntRange link__context__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor link__context__descriptor =
 {
@@ -893,7 +906,7 @@
   "Link__Context",
   "link",
   sizeof(Link__Context),
-  7,
+  8,
   link__context__field_descriptors,
   link__context__field_indices_by_name,
   1,  link__context__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -73,10 +73,11 @@
   uint64_t deadline_ms;
   uint32_t allowance;
   uint64_t job;
+  uint64_t goal_ms;
 };
 #define LINK__CONTEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__context__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Link__Forward
