link, node: call nothing unsent that may have left; end in time

Ruled out: late frames after a tombstone (the connection that carried them is gone). Change: a link that never opened hands what waits to one that is open; a fate is only known to the process that had that incarnation, whatever the calendar did; a leaving daemon takes calls for half of its grace, gives up after 88 percent of it, and is gone; links notice silence within 0.9 s.

--- a/config/settings.c
+++ b/config/settings.c
@@ -14,6 +14,7 @@
 	SETTING_NAME,
 	SETTING_PATH,
 	SETTING_NUMBER,
+	SETTING_SECONDS, /* decimal; kept in microseconds */
 };
 
 struct setting {
@@ -87,9 +88,10 @@
 	"connections", "connections to the target kept without a call"},
     {"announce-silent-ms", SETTING_NUMBER, AT(announce_silent_ms), false, 0, 0,
 	600000, "", "ms", "a target silent for so long is out; 0: never"},
-    {"key-revocation-ms", SETTING_NUMBER, AT(key_revocation_ms), false, 0, 0,
-	600000, "", "ms",
-	"a withdrawn key is refused after so long; 0: no bound"},
+    {"key-revocation-s", SETTING_SECONDS, AT(key_revocation_us), false, 0, 0,
+	3600, "", "s", "a withdrawn key is refused after so long; 0: no bound"},
+    {"grace-s", SETTING_SECONDS, AT(grace_us), false, 0, 0, 3600, "", "s",
+	"the daemon is killed so long after it was told to leave; 0: never"},
     {"headroom-percent", SETTING_NUMBER, AT(headroom_percent), false, 0, 0, 90,
 	"", "percent", "part of the target's slots that is left free"},
     {"balancer", SETTING_NAME, AT(balancer), false, 0, 0, 0, "two-choices",
@@ -204,6 +206,24 @@
 	return true;
 }
 
+static bool
+set_seconds(
+    struct ini *ini, const struct setting *t, const char *value, uint64_t *out)
+{
+	char hint[128], *end;
+	double v = strtod(value, &end);
+
+	snprintf(hint, sizeof(hint),
+	    "give seconds from %" PRIu64 " to %" PRIu64 ", as in 2.5", t->min,
+	    t->max);
+	if (end == value || *end != '\0' || !(v >= (double)t->min) ||
+	    v > (double)t->max)
+		return ini_error(
+		    ini, ini->line, hint, "%s: bad value '%s'", t->name, value);
+	*out = (uint64_t)(v * (double)SEC_US);
+	return true;
+}
+
 static bool
 set_text(struct ini *ini, const struct setting *t, const char *value, char *out,
     size_t len)
@@ -229,6 +249,8 @@
 		return set_text(ini, t, value, field(s, t), NAME_LEN);
 	case SETTING_PATH:
 		return set_text(ini, t, value, field(s, t), SETTINGS_PATH_LEN);
+	case SETTING_SECONDS:
+		return set_seconds(ini, t, value, field(s, t));
 	default:
 		return set_number(ini, t, value, field(s, t));
 	}
@@ -304,7 +326,8 @@
 		t = &table[i];
 		used += snprintf(
 		    buf + used, len - used, "%s (%s)", t->name, t->unit);
-		if (used < len && t->kind == SETTING_NUMBER)
+		if (used < len &&
+		    (t->kind == SETTING_NUMBER || t->kind == SETTING_SECONDS))
 			used += snprintf(buf + used, len - used,
 			    ", %" PRIu64 " unless set, %" PRIu64 " to %" PRIu64,
 			    t->def, t->min, t->max);
--- a/config/settings.h
+++ b/config/settings.h
@@ -46,7 +46,8 @@
 	uint64_t platform_timeout_ms;
 	uint64_t max_idle;
 	uint64_t announce_silent_ms;
-	uint64_t key_revocation_ms;
+	uint64_t key_revocation_us;
+	uint64_t grace_us;
 	uint64_t headroom_percent;
 	char balancer[NAME_LEN];
 	char limiter[NAME_LEN];
--- a/core/entry.c
+++ b/core/entry.c
@@ -11,8 +11,9 @@
 #include "core/node_impl.h"
 
 #define TOKEN_WAIT_US (400 * MSEC_US) /* for a token of the rate, at most */
-#define QUICK_PART 8 /* one part in so many of a goal: a refusal costs little  \
-		      */
+#define QUICK_PART                                                             \
+	8 /* one part in so many of a goal: a refusal costs little             \
+	   */
 #define RETRY_AFTER_MS 1000 /* told to callers who are refused */
 
 static int
@@ -284,7 +285,10 @@
 	struct service *service;
 	struct route *r;
 
-	*f = failure_make(VERDICT_NOT_RUN, REASON_NO_CONFIG);
+	*f = failure_make(VERDICT_NOT_RUN, REASON_LEAVING);
+	if (node_is_closed(n, now))
+		return false;
+	f->reason = REASON_NO_CONFIG;
 	if (n->conf.catalog == NULL)
 		return false;
 	f->reason = REASON_BUSY;
@@ -483,6 +487,21 @@
 	}
 }
 
+void
+entry_abandon(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct entry_call *c, *next;
+
+	n->abandoned = true;
+	RB_FOREACH_SAFE (c, entry_by_token, &n->calls, next) {
+		if (c->state == ENTRY_SENT || c->state == ENTRY_ASKING)
+			reply_overdue(n, c, now, out);
+		else
+			entry_fail(
+			    n, c, VERDICT_NOT_RUN, REASON_LEAVING, now, out);
+	}
+}
+
 void
 entry_tick(struct node *n, struct instant now, struct msg_list *out)
 {
--- a/core/membership.c
+++ b/core/membership.c
@@ -192,6 +192,7 @@
 		g->self->ended_us = now.mono_us;
 	}
 	group_join(g, &r, now);
+	n->joined[n->njoined++ % MAX_JOINS] = r.incarnation;
 	n->target.row_written = false;
 	membership_write_row(n, g, now, out);
 	membership_read_rows(n, g, now, out);
@@ -241,6 +242,8 @@
 void
 membership_drain(struct node *n, struct instant now, struct msg_list *out)
 {
+	if (!n->draining)
+		n->drain_us = now.mono_us;
 	n->draining = true;
 	membership_leave(n, now, out);
 }
--- a/core/msg.c
+++ b/core/msg.c
@@ -30,6 +30,8 @@
     [MSG_ROW] = "row",
     [MSG_OPS] = "ops",
     [MSG_OPS_REPLY] = "ops-reply",
+    [MSG_DRAIN] = "drain",
+    [MSG_CLOSE] = "close",
     [MSG_LIMITS] = "limits",
 };
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -56,6 +56,8 @@
 	/* between the operators' task and the core */
 	MSG_OPS, /* an operator's request */
 	MSG_OPS_REPLY,
+	MSG_DRAIN, /* to the front: close connections after their answers */
+	MSG_CLOSE, /* to the front: take nothing more */
 	MSG_LIMITS, /* what callers may send, from the configuration */
 	MSG_KIND_COUNT,
 };
--- a/core/node.c
+++ b/core/node.c
@@ -8,6 +8,7 @@
 
 #define SLOW_TICK_US (100 * MSEC_US) /* between looks at slow things */
 #define STATUS_BYTES 65536
+#define GRACE_PERCENT 88 /* of the grace, for calls that are in progress */
 
 struct node *
 node_create(const struct node_setup *setup)
@@ -260,6 +261,9 @@
 		ledger_tick(n->ledger, now);
 		n->slow_tick_us = now.mono_us;
 	}
+	if (n->draining && n->setup.grace_us != 0 &&
+	    now.mono_us - n->drain_us > n->setup.grace_us / 100 * GRACE_PERCENT)
+		entry_abandon(n, now, &fresh);
 	n->last_tick_us = now.mono_us;
 	drain_loopback(n, &fresh, now, out);
 }
@@ -275,8 +279,9 @@
 bool
 node_is_drained(const struct node *n)
 {
-	return n->draining && n->ncalls == 0 && n->njobs == 0 &&
-	       (!n->target.present || n->target.left);
+	return n->draining && n->ncalls == 0 &&
+	       (n->abandoned ||
+		   (n->njobs == 0 && (!n->target.present || n->target.left)));
 }
 
 bool
@@ -305,6 +310,13 @@
 	return n->draining;
 }
 
+bool
+node_is_closed(const struct node *n, struct instant now)
+{
+	return n->draining && n->setup.grace_us != 0 &&
+	       now.mono_us - n->drain_us > n->setup.grace_us / 2;
+}
+
 const struct counters *
 node_counters(const struct node *n)
 {
--- a/core/node.h
+++ b/core/node.h
@@ -56,6 +56,7 @@
 	uint64_t max_deadline_us;
 	uint64_t
 	    announce_silent_us; /* a target not heard of is out; 0: never */
+	uint64_t grace_us; /* from the order to leave to the end; 0: no bound */
 	uint64_t key_proof_us; /* keys are trusted so long; 0: for ever */
 	double headroom; /* part of the target's slots that is left free */
 };
@@ -78,6 +79,8 @@
 /* The version of the configuration in force; 0: none. */
 uint64_t node_version(const struct node *);
 bool node_is_draining(const struct node *);
+/* Whether a leaving node takes no more calls of callers. */
+bool node_is_closed(const struct node *, struct instant now);
 const struct counters *node_counters(const struct node *);
 /* Print the state for operators, "name value" lines; the caller frees it. */
 char *node_status(struct node *, struct instant now);
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -22,6 +22,7 @@
 #include "core/tree.h"
 
 #define MAX_SEEDS 8
+#define MAX_JOINS 16 /* incarnations that a process remembers of itself */
 
 /* What a call at the entry daemon waits for. */
 enum entry_state {
@@ -147,11 +148,15 @@
 	struct submission submission;
 	struct msg_list loopback;
 	uint64_t incarnation_floor; /* of ours that others know of */
+	uint64_t joined[MAX_JOINS]; /* incarnations that this process had */
+	unsigned int njoined;
 	uint64_t rng;
 	uint64_t next_seq;
 	uint64_t last_tick_us;
 	uint64_t slow_tick_us;
 	bool draining;
+	bool abandoned; /* what is in progress is given up */
+	uint64_t drain_us; /* since when it drains */
 };
 
 /* entry.c */
@@ -163,6 +168,8 @@
 void entry_fate(struct node *, struct msg *, struct instant, struct msg_list *);
 void entry_link_down(
     struct node *, struct addr, bool sent, struct instant, struct msg_list *);
+/* End all calls: the daemon has to be gone. */
+void entry_abandon(struct node *, struct instant, struct msg_list *);
 void entry_tick(struct node *, struct instant, struct msg_list *);
 /* The configuration changed: look at the keys of all calls again. */
 void entry_recheck(struct node *, struct instant, struct msg_list *);
--- a/core/serve.c
+++ b/core/serve.c
@@ -482,6 +482,19 @@
 		msg_emit(out, MSG_RUN_CANCEL, n->setup.self, j->seq);
 }
 
+/* Calendars go back: an incarnation is ours only if we had that very one. */
+static bool
+was_ours(const struct node *n, uint64_t incarnation)
+{
+	int i;
+
+	for (i = 0; i < MAX_JOINS; i++) {
+		if (incarnation != 0 && n->joined[i] == incarnation)
+			return true;
+	}
+	return false;
+}
+
 void
 serve_ask_fate(
     struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
@@ -492,7 +505,7 @@
 	struct msg *m;
 
 	/* An earlier life of this daemon took its ledger along. */
-	if (f->incarnation < n->setup.incarnation)
+	if (!was_ours(n, f->incarnation))
 		state = FATE_DOUBT;
 	else
 		state = n->setup.guard->ask(
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -8,7 +8,7 @@
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 
-#define LINGER_US (1 * SEC_US) /* from drained to exit: last answers leave */
+#define LINGER_US (300 * MSEC_US) /* from drained to exit: answers leave */
 
 struct decide {
 	struct daemon *daemon;
@@ -16,6 +16,8 @@
 	struct event *timer;
 	uint64_t drained_us;
 	uint64_t version;
+	bool draining;
+	bool closed;
 };
 
 struct instant
@@ -38,6 +40,8 @@
 	switch (m->kind) {
 	case MSG_ANSWER:
 	case MSG_LIMITS:
+	case MSG_DRAIN:
+	case MSG_CLOSE:
 		return d->front;
 	case MSG_RUN:
 	case MSG_RUN_CANCEL:
@@ -131,7 +135,12 @@
 		    "version=%llu", (unsigned long long)version);
 	s->version = version;
 	s->daemon->ready = ready;
-	s->daemon->draining = node_is_draining(s->node);
+	if (node_is_draining(s->node) && !s->draining)
+		task_send(s->daemon->front, msg_create(MSG_DRAIN));
+	if (node_is_closed(s->node, daemon_now()) && !s->closed)
+		task_send(s->daemon->front, msg_create(MSG_CLOSE));
+	s->draining = s->daemon->draining = node_is_draining(s->node);
+	s->closed = node_is_closed(s->node, daemon_now());
 }
 
 static void
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -32,7 +32,6 @@
 	struct http_server_settings limits; /* as the settings say */
 	struct front_tree calls;
 	uint64_t next_token;
-	bool draining;
 };
 
 static int
@@ -151,10 +150,6 @@
 	ex = fc->ex;
 	tag = fc->tag;
 	call_free(fc);
-	if (f->daemon->draining && !f->draining) {
-		f->draining = true;
-		http_server_drain(f->http);
-	}
 	if (m->u.reply.failure.reason == REASON_NONE)
 		send_answer(f, ex, &tag, &m->u.reply);
 	else
@@ -183,10 +178,20 @@
 {
 	struct front *f = state;
 
-	if (m->kind == MSG_LIMITS)
+	switch (m->kind) {
+	case MSG_LIMITS:
 		apply_limits(f, &m->u.limits);
-	else
+		break;
+	case MSG_DRAIN:
+		http_server_drain(f->http);
+		break;
+	case MSG_CLOSE:
+		http_server_close(f->http);
+		break;
+	default:
 		answer_call(f, m);
+		break;
+	}
 	msg_destroy(m);
 }
 
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -406,10 +406,12 @@
 }
 
 void
-http_server_close_idle(struct http_server *s)
+http_server_close(struct http_server *s)
 {
 	struct http_conn *c, *next;
 
+	listener_destroy(s->listener);
+	s->listener = NULL;
 	LIST_FOREACH_SAFE (c, &s->conns, entry, next) {
 		if (TAILQ_EMPTY(&c->exchanges) && !c->reader.begun &&
 		    stream_pending(c->stream) == 0)
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -56,8 +56,8 @@
     struct http_server *, const struct http_server_settings *);
 /* Every further answer closes its connection. */
 void http_server_drain(struct http_server *);
-/* Close the connections that have no request. */
-void http_server_close_idle(struct http_server *);
+/* Take no more connections, and close those that have no request. */
+void http_server_close(struct http_server *);
 size_t http_server_connections(const struct http_server *);
 
 const struct http_message *http_exchange_request(const struct http_exchange *);
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -16,9 +16,9 @@
 #include "wire/frame.h"
 
 #define HANDSHAKE_US (1 * SEC_US) /* a link not open by then is closed */
-#define ALIVE_US (400 * MSEC_US) /* between empty frames on a quiet link */
-#define SILENT_US (1500 * MSEC_US) /* nothing came for so long: lost */
-#define SWEEP_US (200 * MSEC_US) /* between looks at all links */
+#define ALIVE_US (250 * MSEC_US) /* between empty frames on a quiet link */
+#define SILENT_US (900 * MSEC_US) /* nothing came for so long: lost */
+#define SWEEP_US (125 * MSEC_US) /* between looks at all links */
 #define MAX_OUTPUT (16u << 20) /* bytes that may wait on one link */
 #define IDLE_US (120 * SEC_US) /* a link without messages is closed */
 
@@ -109,6 +109,28 @@
 	free(l);
 }
 
+static struct link *link_find(struct links *, struct addr);
+static void send_message(struct link *, struct msg *);
+
+/*
+ * What a link that never opened was to carry goes over another one that is
+ * open.  False if there is none: then nothing of it has left.
+ */
+static bool
+hand_over(struct link *from)
+{
+	struct link *to = link_find(from->links, from->peer);
+	struct msg *m;
+
+	if (to == NULL || to->state != LINK_OPEN)
+		return false;
+	while ((m = TAILQ_FIRST(&from->waiting)) != NULL) {
+		TAILQ_REMOVE(&from->waiting, m, entry);
+		send_message(to, m);
+	}
+	return true;
+}
+
 /* Close a link and tell the core, if it could have used it. */
 static void
 link_close(struct link *l, const char *cause)
@@ -119,7 +141,7 @@
 	log_line(l->state == LINK_OPEN ? LOG_NOTICE : LOG_INFO, "link-closed",
 	    "peer=%s cause=%s outgoing=%d", addr_text(l->peer, text), cause,
 	    l->outgoing);
-	if (l->state == LINK_OPEN || l->outgoing) {
+	if (l->state == LINK_OPEN || (l->outgoing && !hand_over(l))) {
 		m = msg_create(MSG_LINK_DOWN);
 		m->peer = l->peer;
 		m->sent = l->state == LINK_OPEN;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -168,8 +168,8 @@
 	setup->max_deadline_us = s->max_deadline_ms * MSEC_US;
 	setup->announce_silent_us = s->announce_silent_ms * MSEC_US;
 	/* Word of the platform ages a little on its way here. */
-	setup->key_proof_us =
-	    s->key_revocation_ms * MSEC_US / 100 * KEY_PROOF_PERCENT;
+	setup->key_proof_us = s->key_revocation_us / 100 * KEY_PROOF_PERCENT;
+	setup->grace_us = s->grace_us;
 	setup->headroom = (double)s->headroom_percent / 100;
 }
 
