core: refuse call trees where they begin, by pressure from below

Change: each target's daemon tells on its replies which share of the work should not come (core/pressure), with what the services below it tell; entry refuses the least important trees by the mix it saw, callers that come back last; Retry-After grows with the share.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -107,6 +107,28 @@
 	c->wake_us = c->deadline_us + REPLY_GRACE_US;
 }
 
+/*
+ * A call tree is refused where it begins, before anything of it has run.
+ * Nested calls never are: they are part of a tree that was let in.
+ */
+static bool
+refuse_by_pressure(
+    struct node *n, struct entry_call *c, struct group *g, struct instant now)
+{
+	double share;
+
+	if (!serve_shedder(n)->by_pressure || c->balance.ntried > 0 ||
+	    c->context.importance == IMPORTANCE_NESTED)
+		return false;
+	class_mix_note(&n->mix, c->context.importance);
+	share = group_pressure(g, now);
+	if (!class_mix_refuses(
+		&n->mix, share, c->context.importance, c->context.level))
+		return false;
+	c->pressure = share;
+	return true;
+}
+
 void
 attempt_next(struct node *n, struct entry_call *c, struct instant now,
     struct msg_list *out)
@@ -116,6 +138,12 @@
 	struct member *m;
 
 	g->used_us = now.mono_us;
+	if (c->context.importance == IMPORTANCE_NESTED)
+		g->nested += 1;
+	if (refuse_by_pressure(n, c, g, now)) {
+		entry_fail(n, c, VERDICT_NOT_RUN, REASON_SHED, now, out);
+		return;
+	}
 	if (now.mono_us + MSEC_US >= c->deadline_us) {
 		entry_fail(n, c, VERDICT_NOT_RUN, REASON_DEADLINE, now, out);
 		return;
@@ -241,6 +269,8 @@
 		return;
 	m->threshold = r->threshold;
 	m->load = r->load;
+	m->pressure = r->pressure;
+	m->pressure_us = now.mono_us;
 	m->heard_us = now.mono_us;
 	m->unreachable = false;
 	if (r->leaving && m->record.state == MEMBER_ALIVE && !m->self) {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -76,6 +76,7 @@
 	unsigned int max_targets; /* that one call may reach; 0: no bound */
 	uint64_t timeout_us; /* a call is answered by then; 0: no bound */
 	uint64_t goal_us; /* an answer is worth most until then; 0: none */
+	uint64_t longest_ms; /* deadline that a caller named, so far */
 	enum importance importance;
 	bool idempotent;
 	bool open; /* no key needed */
--- a/core/entry.c
+++ b/core/entry.c
@@ -14,6 +14,10 @@
 #define QUICK_PART                                                             \
 	8 /* one part in so many of a goal: a refusal costs little             \
 	   */
+#define RETURN_LEAST_MS 300 /* mean wait of a refused caller */
+#define RETURN_SPREAD_MS 2000 /* more of it when all work is kept away */
+#define RETURN_PART 3 /* one part in so many of the caller's time, at most */
+#define RETURNING_PERCENT 95 /* of the longest deadline: less is a return */
 #define RETRY_AFTER_MS 1000 /* told to callers who are refused */
 
 static int
@@ -90,6 +94,28 @@
 	call_free(n, c);
 }
 
+/*
+ * When a caller who is refused may come back: the later the more work has to
+ * be kept away, spread so that not all come at once, and never so late that
+ * nothing is left of its own time.
+ */
+static uint32_t
+retry_after(struct node *n, const struct entry_call *c, enum reason reason)
+{
+	uint64_t most = c->call.context.deadline_ms / RETURN_PART;
+	uint64_t ms = RETRY_AFTER_MS;
+
+	if (!n->setup.guard->any_member)
+		return RETRY_AFTER_MS;
+	if (reason == REASON_SHED)
+		ms = RETURN_LEAST_MS +
+		     (uint64_t)(c->pressure * RETURN_SPREAD_MS);
+	ms = ms / 2 + rng_below(&n->rng, ms + 1);
+	if (most != 0 && ms > most)
+		ms = most;
+	return (uint32_t)ms;
+}
+
 void
 entry_fail(struct node *n, struct entry_call *c, enum verdict verdict,
     enum reason reason, struct instant now, struct msg_list *out)
@@ -107,7 +133,7 @@
 	if (reason == REASON_OVER_RATE || reason == REASON_SHED ||
 	    reason == REASON_BUSY || reason == REASON_NO_LEASE ||
 	    reason == REASON_NO_TARGET)
-		reply.retry_after_ms = RETRY_AFTER_MS;
+		reply.retry_after_ms = retry_after(n, c, reason);
 	entry_answer(n, c, &reply, now, out);
 }
 
@@ -265,6 +291,20 @@
 	    r, (double)rng_below(&n->rng, UINT32_MAX) / (double)UINT32_MAX);
 }
 
+/*
+ * Callers name what is left of their time: one that names less than others
+ * do has spent some of it, most likely on a refusal.
+ */
+static bool
+is_returning(const struct entry_call *c, struct route *r)
+{
+	uint64_t ms = c->call.context.deadline_ms;
+
+	if (ms > r->longest_ms)
+		r->longest_ms = ms;
+	return ms != 0 && ms < r->longest_ms / 100 * RETURNING_PERCENT;
+}
+
 /*
  * Targets of some interfaces do not say for which run they call: a call
  * without a key from a host whose target is at work is taken for one.
@@ -309,6 +349,7 @@
 	c->max_targets = r->max_targets;
 	c->timeout_us = r->timeout_us;
 	c->goal_us = r->goal_us;
+	c->returning = is_returning(c, r);
 	name_copy(c->route, r->prefix, sizeof(c->route));
 	c->context.importance = r->importance;
 	c->allowance =
@@ -334,7 +375,9 @@
 	do {
 		c->context.tree = rng_next(&n->rng);
 	} while (c->context.tree == 0);
-	c->context.level = shed_level(c->context.org, c->context.tree);
+	c->context.level = c->returning
+			       ? PRESSURE_LEVELS - 1
+			       : shed_level(c->context.org, c->context.tree);
 }
 
 void
--- a/core/group.c
+++ b/core/group.c
@@ -345,6 +345,23 @@
 	return grants > total / 2;
 }
 
+double
+group_pressure(struct group *g, struct instant now)
+{
+	unsigned int count = 0;
+	struct member *m;
+	double sum = 0;
+
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (!member_is_open(m) || m->unreachable ||
+		    now.mono_us - m->pressure_us > GROUP_PRESSURE_US)
+			continue;
+		sum += m->pressure / 1000.0;
+		count++;
+	}
+	return count != 0 ? sum / count : 0;
+}
+
 static uint64_t
 record_digest(const struct member_record *r)
 {
--- a/core/group.h
+++ b/core/group.h
@@ -37,6 +37,8 @@
 #define GROUP_JOIN_MS 2500 /* from join to owning ids */
 #define GROUP_LEAVE_MS 2500 /* from leaving to owning none */
 #define GROUP_SKEW_MS 1000 /* a stamp may be ahead by so much */
+#define GROUP_PRESSURE_US (2500 * MSEC_US) /* word of pressure counts so long  \
+					    */
 #define GROUP_RAMP_US (10 * SEC_US) /* a new target's way to full work */
 
 struct member {
@@ -52,6 +54,8 @@
 	bool unreachable; /* its link broke and nothing came since */
 	uint64_t ended_us;
 	struct threshold threshold;
+	uint32_t pressure; /* as its last word said, in thousandths */
+	uint64_t pressure_us; /* when it said so */
 	uint32_t load;
 	uint32_t outstanding; /* tries of ours that it has not answered */
 	bool self;
@@ -69,6 +73,7 @@
 	char service[NAME_LEN];
 	char dc[NAME_LEN];
 	uint64_t used_us; /* last call for this service */
+	double nested; /* calls of the local target lately, fading */
 	uint64_t polled_us;
 	uint64_t rows_us; /* platform's rows last asked for */
 	uint64_t rows_version; /* of the fence row */
@@ -118,6 +123,8 @@
 /* Digest of all that is known, and of the members that are gone. */
 uint64_t group_digest(struct group *);
 uint64_t group_gone_digest(struct group *);
+/* What its members say of pressure, on average; stale word does not count. */
+double group_pressure(struct group *, struct instant now);
 /* Whether new work may be sent there. */
 bool member_is_open(const struct member *);
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -359,6 +359,7 @@
 		    group_grant(g, msg->peer, a->self.incarnation, now);
 	reply->gone_digest = group_gone_digest(g);
 	if (g->self != NULL && n->target.shed != NULL) {
+		reply->pressure = n->target.told_pressure;
 		reply->threshold = shed_threshold(n->target.shed);
 		reply->load = (n->target.running + shed_count(n->target.shed)) *
 			      1000 / (limit_now(&n->target.limit) + 1);
@@ -407,6 +408,8 @@
 		m->heard_us = now.mono_us;
 		m->unreachable = false;
 		m->threshold = r->threshold;
+		m->pressure = r->pressure;
+		m->pressure_us = now.mono_us;
 		m->load = r->load;
 	}
 	if (accused && !n->target.leaving) {
--- a/core/msg.h
+++ b/core/msg.h
@@ -100,6 +100,7 @@
 	struct threshold threshold;
 	uint32_t load; /* the target's work per slot, in thousandths */
 	bool leaving;
+	uint32_t pressure; /* share of work to keep away, in thousandths */
 	bool reached; /* bytes of the request may have gone to the target */
 };
 
@@ -180,6 +181,7 @@
 	uint64_t gone_digest; /* of the members that the grantor holds gone */
 	uint32_t load;
 	struct threshold threshold;
+	uint32_t pressure; /* as in struct reply */
 	int count;
 	struct member_record *records; /* owned */
 };
--- a/core/node.c
+++ b/core/node.c
@@ -256,8 +256,8 @@
 		control_tick(n, now, &fresh);
 		membership_tick(n, now, &fresh);
 		operate_tick(n, now, &fresh);
-		if (n->target.shed != NULL)
-			shed_tick(n->target.shed);
+		serve_slow_tick(n, now);
+		class_mix_tick(&n->mix);
 		ledger_tick(n->ledger, now);
 		n->slow_tick_us = now.mono_us;
 	}
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -17,6 +17,7 @@
 #include "core/explain.h"
 #include "core/ledger.h"
 #include "core/node.h"
+#include "core/pressure.h"
 #include "core/quota.h"
 #include "core/retry.h"
 #include "core/tree.h"
@@ -49,6 +50,7 @@
 	bool keyed; /* belongs to the key's organisation */
 	bool metered; /* is charged to its rate */
 	bool paid; /* a token of its rate was taken */
+	double pressure; /* that it was refused for */
 	bool doubt; /* an earlier try of this call may have run */
 	struct failure failure; /* of the last try */
 	struct call_context context;
@@ -57,6 +59,7 @@
 	uint64_t deadline_us;
 	uint64_t timeout_us; /* the route's; 0: none */
 	uint64_t goal_us; /* the route's; 0: none */
+	bool returning; /* its caller was most likely refused before */
 	uint64_t wake_us; /* when to look at it again */
 	uint64_t ask_until_us; /* give up asking for the fate */
 	struct addr target;
@@ -112,6 +115,9 @@
 	uint64_t mean_us; /* what a call takes, smoothed */
 	unsigned int running;
 	struct limit limit;
+	struct pressure pressure;
+	double finished; /* jobs lately, fading */
+	uint32_t told_pressure; /* with that of all below, in thousandths */
 	struct shed *shed;
 };
 
@@ -150,6 +156,7 @@
 	uint64_t incarnation_floor; /* of ours that others know of */
 	uint64_t joined[MAX_JOINS]; /* incarnations that this process had */
 	unsigned int njoined;
+	struct class_mix mix; /* of the call trees that begin here */
 	uint64_t rng;
 	uint64_t next_seq;
 	uint64_t last_tick_us;
@@ -201,9 +208,13 @@
 /* The target leaves: what waits for it has not run and never will. */
 void serve_refuse_waiting(
     struct node *, enum reason, struct instant, struct msg_list *);
+/* Learn from the present state; called about ten times a second. */
+void serve_slow_tick(struct node *, struct instant);
 void serve_tick(struct node *, struct instant, struct msg_list *);
 /* The queue's policy, by the settings or as the operators' text weighs. */
 const struct shedder *serve_shedder(const struct node *);
+/* The share of work that the target here, and all below it, want kept away. */
+uint32_t serve_pressure(struct node *, struct instant);
 struct job *serve_find(struct node *, uint64_t seq);
 void serve_destroy(struct node *);
 
--- a/core/serve.c
+++ b/core/serve.c
@@ -12,6 +12,11 @@
 
 #define PATIENCE_PART 4 /* a call waits one part in so many of its goal */
 #define PATIENCE_MIN_US (25 * MSEC_US) /* whatever is left of the goal */
+#define DEPENDS_PART 0.1 /* nested calls a job, from which one depends */
+#define PASSED_ON 0.97 /* of pressure from below; so no ring holds it up */
+#define FADE 0.97 /* of what was counted lately, kept by a tick */
+#define NESTED_WAIT_US (60 * MSEC_US) /* allowed to a call that a target made  \
+				       */
 #define MEAN_SMOOTHING 8 /* one part in so many comes from the last call */
 
 static int
@@ -62,6 +67,33 @@
 		   : &shedder_recovery;
 }
 
+/* What the services say that the local target calls. */
+static double
+pressure_below(struct node *n, struct instant now)
+{
+	double most = 0, p;
+	struct group *g;
+
+	RB_FOREACH (g, group_tree, &n->groups) {
+		if (g->nested < DEPENDS_PART * n->target.finished)
+			continue;
+		p = group_pressure(g, now) * PASSED_ON;
+		if (p > most)
+			most = p;
+	}
+	return most;
+}
+
+uint32_t
+serve_pressure(struct node *n, struct instant now)
+{
+	double below = pressure_below(n, now);
+
+	return (uint32_t)(1000 * (below > n->target.pressure.share
+					 ? below
+					 : n->target.pressure.share));
+}
+
 /* What every reply tells the entry daemon about this target. */
 static void
 add_hints(struct node *n, struct reply *r)
@@ -74,6 +106,7 @@
 	r->load = (n->target.running + shed_count(n->target.shed)) * 1000 /
 		  (limit ? limit : 1);
 	r->leaving = n->target.leaving;
+	r->pressure = n->target.told_pressure;
 }
 
 static void
@@ -305,6 +338,17 @@
 	return j;
 }
 
+static void
+note_wait(struct node *n, const struct job *j, struct instant now)
+{
+	uint64_t allowed = j->item.patience_us;
+
+	if (j->item.importance == IMPORTANCE_NESTED)
+		allowed = NESTED_WAIT_US;
+	pressure_note(
+	    &n->target.pressure, now.mono_us - j->item.queued_us, allowed);
+}
+
 static void
 start_job(
     struct node *n, struct job *j, struct instant now, struct msg_list *out)
@@ -318,6 +362,7 @@
 		return;
 	}
 	j->started_us = now.mono_us;
+	note_wait(n, j, now);
 	n->target.running++;
 	n->counters.values[COUNT_JOBS_STARTED]++;
 	m = msg_emit(out, MSG_RUN, n->setup.self, j->seq);
@@ -394,6 +439,7 @@
 	j = job_create(n, msg, rec, now);
 	if (threshold_applies(n, j) ||
 	    !shed_offer(n->target.shed, &j->item, now, &victim)) {
+		pressure_refused(&n->target.pressure);
 		refuse_job(n, j, REASON_SHED, now, out);
 		return;
 	}
@@ -444,6 +490,7 @@
 	if (j == NULL || j->started_us == 0)
 		return;
 	n->target.running--;
+	n->target.finished += 1;
 	n->counters.values[COUNT_JOBS_DONE]++;
 	learn_time(n, r, now.mono_us - j->started_us);
 	note_decision(n, &j->forward, j->from, r->failure, now);
@@ -563,9 +610,33 @@
 	struct shed_items expired = TAILQ_HEAD_INITIALIZER(expired);
 
 	shed_expire(n->target.shed, now, n->target.mean_us, &expired);
+	if (!TAILQ_EMPTY(&expired))
+		pressure_refused(&n->target.pressure);
 	refuse_expired(n, &expired, now, out);
 }
 
+void
+serve_slow_tick(struct node *n, struct instant now)
+{
+	struct group *g;
+	struct job *j;
+
+	if (n->target.shed == NULL)
+		return;
+	RB_FOREACH (g, group_tree, &n->groups)
+		g->nested *= FADE;
+	n->target.finished *= FADE;
+	shed_tick(n->target.shed);
+	if (shed_count(n->target.shed) > 0) {
+		RB_FOREACH (j, job_tree, &n->jobs) {
+			if (j->started_us == 0)
+				note_wait(n, j, now);
+		}
+	}
+	pressure_tick(&n->target.pressure);
+	n->target.told_pressure = serve_pressure(n, now);
+}
+
 void
 serve_tick(struct node *n, struct instant now, struct msg_list *out)
 {
--- a/core/shed.c
+++ b/core/shed.c
@@ -32,12 +32,13 @@
 };
 
 const struct shedder shedder_recovery = {
-    "recovery", true, true, true, true, 100 * MSEC_US, false};
+    "recovery", true, true, true, true, 100 * MSEC_US, false, false};
 const struct shedder shedder_goodput = {
-    "goodput", true, true, false, true, 3 * SEC_US, false};
+    "goodput", true, true, false, true, 3 * SEC_US, false, false};
 const struct shedder shedder_fifo = {
-    "fifo", false, false, false, false, 0, false};
-const struct shedder shedder_goal = {"goal", true, true, false, false, 0, true};
+    "fifo", false, false, false, false, 0, false, false};
+const struct shedder shedder_goal = {
+    "goal", true, true, false, false, 0, true, true};
 
 struct shed *
 shed_create(const struct shedder *shedder, size_t max_items)
--- a/core/shed.h
+++ b/core/shed.h
@@ -48,6 +48,7 @@
 	bool adaptive; /* refuse early by threshold */
 	uint64_t wait_us; /* a call that waited longer is refused; 0: never */
 	bool by_goal; /* each call waits as its own goal allows */
+	bool by_pressure; /* call trees are refused where they begin */
 };
 
 /* Each deployment's weighing, and what is usual without a layer. */
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -59,7 +59,7 @@
 	if (p == NULL || p->verdict > VERDICT_RAN ||
 	    p->reason >= REASON_COUNT ||
 	    p->threshold_importance >= IMPORTANCE_COUNT ||
-	    p->threshold_level > 255 || p->status > 999)
+	    p->threshold_level > 255 || p->status > 999 || p->pressure > 1000)
 		return false;
 	r->status = p->status;
 	r->failure = failure_make(p->verdict, p->reason);
@@ -73,6 +73,7 @@
 	r->load = p->load;
 	r->leaving = p->leaving;
 	r->reached = p->reached;
+	r->pressure = p->pressure;
 	return true;
 }
 
@@ -121,8 +122,9 @@
 
 	if (p->n_records > FRAME_MAX_MEMBERS ||
 	    p->threshold_importance >= IMPORTANCE_COUNT ||
-	    p->threshold_level > 255)
+	    p->threshold_level > 255 || p->pressure > 1000)
 		return false;
+	m->pressure = p->pressure;
 	m->sent_us = p->sent_us;
 	m->granted = p->granted;
 	m->gone_digest = p->gone_digest;
--- a/wire/frame_encode.c
+++ b/wire/frame_encode.c
@@ -86,6 +86,7 @@
 	p->load = r->load;
 	p->leaving = r->leaving;
 	p->reached = r->reached;
+	p->pressure = r->pressure;
 }
 
 static void
@@ -146,6 +147,7 @@
 	p->granted = m->granted;
 	p->gone_digest = m->gone_digest;
 	p->load = m->load;
+	p->pressure = m->pressure;
 	p->threshold_importance = m->threshold.importance;
 	p->threshold_level = m->threshold.level;
 	p->n_records = m->count;
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -1094,7 +1094,7 @@
   (ProtobufCMessageInit) link__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__reply__field_descriptors[13] =
+static const ProtobufCFieldDescriptor link__reply__field_descriptors[14] =
 {
   {
     "status",
@@ -1252,6 +1252,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Reply, pressure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__reply__field_indices_by_name[] = {
   5,   /* field[5] = allowance */
@@ -1259,6 +1271,7 @@
   3,   /* field[3] = headers */
   11,   /* field[11] = leaving */
   10,   /* field[10] = load */
+  13,   /* field[13] = pressure */
   12,   /* field[12] = reached */
   2,   /* field[2] = reason */
   7,   /* field[7] = retry_after_ms */
@@ -1271,7 +1284,7 @@
 static const ProtobufCIntRange link__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor link__reply__descriptor =
 {
@@ -1281,7 +1294,7 @@
   "Link__Reply",
   "link",
   sizeof(Link__Reply),
-  13,
+  14,
   link__reply__field_descriptors,
   link__reply__field_indices_by_name,
   1,  link__reply__number_ranges,
@@ -1635,7 +1648,7 @@
   (ProtobufCMessageInit) link__members_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__members__field_descriptors[8] =
+static const ProtobufCFieldDescriptor link__members__field_descriptors[9] =
 {
   {
     "service",
@@ -1733,11 +1746,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Members, pressure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__members__field_indices_by_name[] = {
   3,   /* field[3] = gone_digest */
   2,   /* field[2] = granted */
   4,   /* field[4] = load */
+  8,   /* field[8] = pressure */
   7,   /* field[7] = records */
   1,   /* field[1] = sent_us */
   0,   /* field[0] = service */
@@ -1747,7 +1773,7 @@
 static const ProtobufCIntRange link__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor link__members__descriptor =
 {
@@ -1757,7 +1783,7 @@
   "Link__Members",
   "link",
   sizeof(Link__Members),
-  8,
+  9,
   link__members__field_descriptors,
   link__members__field_indices_by_name,
   1,  link__members__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -117,10 +117,11 @@
   uint32_t load;
   protobuf_c_boolean leaving;
   protobuf_c_boolean reached;
+  uint32_t pressure;
 };
 #define LINK__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__reply__descriptor) \
-    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Link__Cancel
@@ -190,10 +191,11 @@
   uint32_t threshold_level;
   size_t n_records;
   Link__Member **records;
+  uint32_t pressure;
 };
 #define LINK__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__members__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Link__Handover
