control, daemon: read for oneself in time, and reload on SIGHUP

Change: children of the root read after 1.3 s without confirmation, waiting reads follow each other at once and wait 500 ms; SIGHUP reads the settings again, and a bad file leaves those in force.

--- a/config/settings.c
+++ b/config/settings.c
@@ -156,6 +156,12 @@
 	return s;
 }
 
+void
+settings_copy(struct settings *dst, const struct settings *src)
+{
+	*dst = *src;
+}
+
 void
 settings_destroy(struct settings *s)
 {
--- a/config/settings.h
+++ b/config/settings.h
@@ -56,6 +56,7 @@
 
 struct settings *settings_create(void);
 void settings_destroy(struct settings *);
+void settings_copy(struct settings *dst, const struct settings *src);
 bool settings_read(struct settings *, const char *name, const char *text,
     size_t len, char *err, size_t errlen);
 /* Print one line a setting: name, unit, default, bounds and meaning. */
--- a/core/control.c
+++ b/core/control.c
@@ -12,10 +12,8 @@
 #define CLAIM_AGAIN_US (2 * SEC_US)
 #define SETTLE_US (QUOTA_TTL_US + 2 * QUOTA_MARGIN_US)
 #define STALE_US (20 * SEC_US) /* unconfirmed for so long: read ourselves */
-#define CHILD_STALE_US                                                         \
-	(2500 * MSEC_US) /* the same for children of the root                  \
-			  */
-#define FOLLOW_MS 1000 /* a read waits so long for a new version */
+#define CHILD_STALE_US (1300 * MSEC_US) /* for children of the root */
+#define FOLLOW_MS 500 /* a read waits so long for a new version */
 #define FOLLOW_LOST_US (4 * SEC_US) /* no answer by then: ask again */
 #define ROOT_READ_US (2 * SEC_US) /* between looks whether we are the root */
 #define FREEZE_US (2 * SEC_US) /* a gap between ticks that is a freeze */
@@ -195,6 +193,7 @@
 	memset(&c, 0, sizeof(c));
 	n->tree.following = false;
 	n->tree.since = row->since;
+	n->tree.follow_failed = false;
 	if (row->status != ROW_FOUND || row->version <= n->conf.version) {
 		/* The answer proves what held when the question was asked. */
 		confstate_confirm(
@@ -234,6 +233,7 @@
 	if (row->status == ROW_UNKNOWN) {
 		n->tree.failed_us = now.mono_us;
 		n->tree.following = false;
+		n->tree.follow_failed = true;
 		n->tree.handing = false;
 		return;
 	}
@@ -475,7 +475,9 @@
 
 	if (t->following && now.mono_us - t->follow_us < FOLLOW_LOST_US)
 		return;
-	if (t->follow_us != 0 && now.mono_us - t->follow_us < TREE_READ_US)
+	/* Reads that wait pace themselves; others have to be paced. */
+	if (t->follow_us != 0 && (t->since == 0 || t->follow_failed) &&
+	    now.mono_us - t->follow_us < TREE_READ_US)
 		return;
 	t->following = true;
 	t->follow_us = now.mono_us;
--- a/core/group.h
+++ b/core/group.h
@@ -37,8 +37,9 @@
 #define GROUP_JOIN_MS 2500 /* from join to owning ids */
 #define GROUP_LEAVE_MS 2500 /* from leaving to owning none */
 #define GROUP_SKEW_MS 1000 /* a stamp may be ahead by so much */
-#define GROUP_PRESSURE_US (2500 * MSEC_US) /* word of pressure counts so long  \
-					    */
+#define GROUP_PRESSURE_US                                                      \
+	(2500 * MSEC_US) /* word of pressure counts so long                    \
+			  */
 #define GROUP_RAMP_US (10 * SEC_US) /* a new target's way to full work */
 
 struct member {
--- a/core/msg.c
+++ b/core/msg.c
@@ -32,6 +32,7 @@
     [MSG_OPS_REPLY] = "ops-reply",
     [MSG_DRAIN] = "drain",
     [MSG_CLOSE] = "close",
+    [MSG_RELOAD] = "reload",
     [MSG_LIMITS] = "limits",
 };
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -58,6 +58,7 @@
 	MSG_OPS_REPLY,
 	MSG_DRAIN, /* to the front: close connections after their answers */
 	MSG_CLOSE, /* to the front: take nothing more */
+	MSG_RELOAD, /* the settings were read anew */
 	MSG_LIMITS, /* what callers may send, from the configuration */
 	MSG_KIND_COUNT,
 };
--- a/core/node.c
+++ b/core/node.c
@@ -284,6 +284,18 @@
 		   (n->njobs == 0 && (!n->target.present || n->target.left)));
 }
 
+void
+node_retune(struct node *n, const struct node_setup *s)
+{
+	n->setup.max_calls = s->max_calls;
+	n->setup.default_deadline_us = s->default_deadline_us;
+	n->setup.max_deadline_us = s->max_deadline_us;
+	n->setup.announce_silent_us = s->announce_silent_us;
+	n->setup.grace_us = s->grace_us;
+	n->setup.key_proof_us = s->key_proof_us;
+	n->setup.headroom = s->headroom;
+}
+
 bool
 node_is_ready(const struct node *n)
 {
--- a/core/node.h
+++ b/core/node.h
@@ -72,6 +72,11 @@
 uint64_t node_wake(const struct node *);
 /* Whether a leaving node has finished all that it had to do. */
 bool node_is_drained(const struct node *);
+/*
+ * Take over the settings that may change while calls run: times, bounds and
+ * headroom.  Tables, addresses and names stay as they were at the start.
+ */
+void node_retune(struct node *, const struct node_setup *);
 /* Whether callers may be sent here. */
 bool node_is_ready(const struct node *);
 /* What callers may send; zeroes until a configuration is known. */
--- a/core/serve.c
+++ b/core/serve.c
@@ -15,8 +15,9 @@
 #define DEPENDS_PART 0.1 /* nested calls a job, from which one depends */
 #define PASSED_ON 0.97 /* of pressure from below; so no ring holds it up */
 #define FADE 0.97 /* of what was counted lately, kept by a tick */
-#define NESTED_WAIT_US (60 * MSEC_US) /* allowed to a call that a target made  \
-				       */
+#define NESTED_WAIT_US                                                         \
+	(60 * MSEC_US) /* allowed to a call that a target made                 \
+			*/
 #define MEAN_SMOOTHING 8 /* one part in so many comes from the last call */
 
 static int
--- a/core/tree.h
+++ b/core/tree.h
@@ -54,6 +54,7 @@
 	uint64_t follow_us; /* the configuration was */
 	uint64_t since; /* where its changes go on; 0: read it whole */
 	bool following; /* that answer has not come */
+	bool follow_failed; /* the last one did not */
 	uint64_t answered_us; /* the platform last answered */
 	uint64_t failed_us; /* the platform last failed to answer */
 	uint64_t claimed_us; /* we last tried to become the root */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -30,7 +30,8 @@
 
 struct daemon {
 	struct event_base *base;
-	const struct settings *settings;
+	struct settings *settings; /* in force */
+	const char *settings_path;
 	const struct dialect *dialect;
 	const struct row_protocol *rows;
 	const struct announcement *announcement; /* NULL: the operators' port */
@@ -59,6 +60,8 @@
 struct task *probe_task_create(struct daemon *);
 struct task *decide_task_create(struct daemon *, const struct node_setup *);
 
+/* The part of a setup that may change while calls run. */
+void daemon_tune(const struct settings *, struct node_setup *);
 /* The time for the core. */
 struct instant daemon_now(void);
 /* Ask the decide task to leave in order; the loop ends when it has. */
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -10,6 +10,8 @@
 
 #define LINGER_US (300 * MSEC_US) /* from drained to exit: answers leave */
 
+#define KEY_PROOF_PERCENT 90 /* of the time in which a key must be refused */
+
 struct decide {
 	struct daemon *daemon;
 	struct node *node;
@@ -34,6 +36,19 @@
 	return now;
 }
 
+void
+daemon_tune(const struct settings *s, struct node_setup *setup)
+{
+	setup->max_calls = s->max_calls;
+	setup->default_deadline_us = s->default_deadline_ms * MSEC_US;
+	setup->max_deadline_us = s->max_deadline_ms * MSEC_US;
+	setup->announce_silent_us = s->announce_silent_ms * MSEC_US;
+	setup->grace_us = s->grace_us;
+	/* Word of the platform ages a little on its way here. */
+	setup->key_proof_us = s->key_revocation_us / 100 * KEY_PROOF_PERCENT;
+	setup->headroom = (double)s->headroom_percent / 100;
+}
+
 static struct task *
 task_for(struct daemon *d, const struct msg *m)
 {
@@ -86,7 +101,14 @@
 	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
 	struct decide *s = state;
 	uint64_t before = node_wake(s->node);
+	struct node_setup tuned;
 
+	if (m->kind == MSG_RELOAD) {
+		daemon_tune(s->daemon->settings, &tuned);
+		node_retune(s->node, &tuned);
+		msg_destroy(m);
+		return;
+	}
 	node_handle(s->node, m, daemon_now(), &out);
 	send_all(s, &out);
 	if (node_wake(s->node) != before)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -21,7 +21,6 @@
 #define EXIT_USAGE 129
 #define MIN_DESCRIPTORS 1024 /* taken for granted */
 #define MIN_SECRET 32 /* bytes */
-#define KEY_PROOF_PERCENT 90 /* of the time in which a key must be refused */
 
 static GQuark
 daemon_error(void)
@@ -151,6 +150,7 @@
 static void
 fill_setup(const struct settings *s, struct node_setup *setup)
 {
+	daemon_tune(s, setup);
 	setup->self = s->link;
 	name_copy(setup->dc, s->datacentre, sizeof(setup->dc));
 	setup->incarnation = daemon_now().wall_ms;
@@ -160,17 +160,35 @@
 	name_copy(setup->service, s->service, sizeof(setup->service));
 	setup->seeds = s->peers;
 	setup->nseeds = s->npeers;
-	setup->max_calls = s->max_calls;
 	setup->max_queue = s->max_queue;
 	setup->max_ids = s->max_ids;
 	setup->answer_bytes = s->answer_bytes;
-	setup->default_deadline_us = s->default_deadline_ms * MSEC_US;
-	setup->max_deadline_us = s->max_deadline_ms * MSEC_US;
-	setup->announce_silent_us = s->announce_silent_ms * MSEC_US;
-	/* Word of the platform ages a little on its way here. */
-	setup->key_proof_us = s->key_revocation_us / 100 * KEY_PROOF_PERCENT;
-	setup->grace_us = s->grace_us;
-	setup->headroom = (double)s->headroom_percent / 100;
+}
+
+/*
+ * Read the settings again.  What is wrong with them is logged, and those in
+ * force stay; addresses and tables are taken from them at the next start.
+ */
+static void
+on_reload(evutil_socket_t sig, short what, void *arg)
+{
+	struct settings *s = settings_create();
+	struct daemon *d = arg;
+	GError *error = NULL;
+
+	(void)sig;
+	(void)what;
+	if (load_settings(d->settings_path, s, &error)) {
+		log_line(LOG_NOTICE, "reloaded", "platform_changed=%d",
+		    !addr_equal(s->platform, d->settings->platform));
+		settings_copy(d->settings, s);
+		task_send(d->decide, msg_create(MSG_RELOAD));
+		task_send(d->platform, msg_create(MSG_RELOAD));
+	} else {
+		log_line(LOG_ERR, "reload-failed", "error=%s", error->message);
+		g_error_free(error);
+	}
+	settings_destroy(s);
 }
 
 static void
@@ -236,13 +254,15 @@
 static int
 run(struct daemon *d, const struct node_setup *setup)
 {
-	struct event *term, *intr;
+	struct event *term, *intr, *hup;
 	int ret = EXIT_FATAL;
 
 	signal(SIGPIPE, SIG_IGN);
 	d->base = event_base_new();
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	intr = evsignal_new(d->base, SIGINT, on_signal, d);
+	hup = evsignal_new(d->base, SIGHUP, on_reload, d);
+	evsignal_add(hup, NULL);
 	evsignal_add(term, NULL);
 	evsignal_add(intr, NULL);
 	if (start_tasks(d, setup)) {
@@ -254,6 +274,7 @@
 	stop_tasks(d);
 	event_free(term);
 	event_free(intr);
+	event_free(hup);
 	event_base_free(d->base);
 	return ret;
 }
@@ -317,6 +338,7 @@
 		log_set_level(LOG_DEBUG);
 	s = settings_create();
 	d.settings = s;
+	d.settings_path = path;
 	randombytes_buf(d.context_key, sizeof(d.context_key));
 	raise_descriptors(&d);
 	if (!load_settings(path, s, &error) ||
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -28,6 +28,7 @@
 struct platform {
 	struct daemon *daemon;
 	struct http_client *http;
+	struct addr address; /* that it goes to */
 	struct query_list queries;
 	bool down; /* the last answer did not come */
 };
@@ -66,16 +67,40 @@
 	finish(arg, result->outcome == HTTP_ANSWERED ? result->msg : NULL);
 }
 
+static void
+connect_to(struct platform *p, struct addr to)
+{
+	struct http_client_settings set = {
+	    .limits = {MAX_HEADER_BYTES, MAX_ROW_BYTES},
+	    .max_idle = MAX_IDLE,
+	    .idle_us = KEEP_IDLE_US,
+	};
+	struct query *q;
+
+	http_client_destroy(p->http);
+	while ((q = LIST_FIRST(&p->queries)) != NULL)
+		finish(q, NULL);
+	p->address = to;
+	p->http = http_client_create(p->daemon->base, to, &set);
+}
+
 static void
 receive(void *state, struct msg *m)
 {
 	struct platform *p = state;
 	const struct settings *s = p->daemon->settings;
-	struct query *q = xcalloc(1, sizeof(*q));
+	struct query *q;
 	struct http_request req = {0};
 	struct row_request r;
 	char host[ADDR_TEXT_LEN];
 
+	if (m->kind == MSG_RELOAD) {
+		if (!addr_equal(p->address, s->platform))
+			connect_to(p, s->platform);
+		msg_destroy(m);
+		return;
+	}
+	q = xcalloc(1, sizeof(*q));
 	q->platform = p;
 	q->msg = m;
 	LIST_INSERT_HEAD(&p->queries, q, entry);
@@ -116,15 +141,10 @@
 struct task *
 platform_task_create(struct daemon *d)
 {
-	struct http_client_settings set = {
-	    .limits = {MAX_HEADER_BYTES, MAX_ROW_BYTES},
-	    .max_idle = MAX_IDLE,
-	    .idle_us = KEEP_IDLE_US,
-	};
 	struct platform *p = xcalloc(1, sizeof(*p));
 
 	p->daemon = d;
 	LIST_INIT(&p->queries);
-	p->http = http_client_create(d->base, d->settings->platform, &set);
+	connect_to(p, d->settings->platform);
 	return task_create(d->base, "platform", &ops, p);
 }
--- a/t/replay.c
+++ b/t/replay.c
@@ -77,6 +77,7 @@
 	struct addr addr;
 	uint64_t life; /* raised by each kill, to drop old events */
 	uint64_t frozen_until;
+	bool no_platform;
 	struct msg_list held; /* arrived while frozen */
 	struct run_list runs;
 	struct run_queue queue;
@@ -436,6 +437,12 @@
 	send_to(r, from, to, m, delay_between(r, from, to) + r->lag[from][to]);
 }
 
+void
+replay_cut_platform(struct replay *r, int host, bool cut)
+{
+	r->hosts[host].no_platform = cut;
+}
+
 static void
 send_platform(struct replay *r, int from, struct msg *m)
 {
@@ -443,7 +450,7 @@
 	struct row *row = &m->u.row;
 
 	m->kind = MSG_ROW;
-	if (r->platform == PLATFORM_DOWN) {
+	if (r->platform == PLATFORM_DOWN || r->hosts[from].no_platform) {
 		row->status = ROW_UNKNOWN;
 		send_to(r, from, from, m, PLATFORM_TIMEOUT_US);
 		return;
--- a/t/replay.h
+++ b/t/replay.h
@@ -70,6 +70,8 @@
 int replay_host(struct replay *, const struct replay_spec *);
 void replay_config(struct replay *, const char *text);
 void replay_platform(struct replay *, enum replay_platform);
+/* One host alone does not reach the platform. */
+void replay_cut_platform(struct replay *, int host, bool cut);
 /* Call fn at a time from the start. */
 void replay_at(struct replay *, uint64_t at_us,
     void (*fn)(struct replay *, void *arg), void *arg);
--- a/t/test-control.cc
+++ b/t/test-control.cc
@@ -141,6 +141,26 @@
 	EXPECT_EQ(f.lowest(), 2u);
 }
 
+/*
+ * Found by scale-2 of srf-mesh: the root lost the platform and kept its
+ * children, who read for themselves too late for a withdrawn key.
+ */
+TEST(Control, ChangeIsInForceWhenTheRootAloneLosesThePlatform)
+{
+	for (int phase = 0; phase < 10; phase++) {
+		Fleet f(13);
+
+		for (int i = 0; i < f.n; i++) {
+			if (replay_node(f.r, i)->tree.is_root)
+				replay_cut_platform(f.r, i, true);
+		}
+		f.run(phase * 300 * MSEC_US);
+		replay_config(f.r, chain_text(700).c_str());
+		f.run(2 * SEC_US);
+		EXPECT_EQ(f.lowest(), 2u) << phase;
+	}
+}
+
 TEST(Control, RacingSubmissionsHaveOneWinner)
 {
 	uint64_t seed;
