pressure: hold while the wait falls

Ruled out: slow daemons (0.098 of 0.4 cores at most). Change: the share is raised only while the longest wait does not fall, and by 4 percent a tick at most.

--- a/core/pressure.c
+++ b/core/pressure.c
@@ -1,9 +1,10 @@
 #include "core/pressure.h"
 
-#define STRAIN_PART 2 /* strained once a call has waited half of its time */
+#define STRAINED 0.5 /* of the time that a call may wait */
+#define FALLING 0.9 /* of the last tick's wait: what was done takes effect */
 #define RAISE_FIRST 0.01 /* share, for a first strained tick */
 #define RAISE_GROWTH 1.5 /* each strained tick after it raises so much more */
-#define RAISE_MOST 0.08
+#define RAISE_MOST 0.04
 #define LOWER_LEAST 0.002 /* share, for a calm tick */
 #define LOWER_PART 0.03 /* or so much of what there is */
 #define SHARE_MOST 0.98 /* a few calls always try */
@@ -12,14 +13,16 @@
 void
 pressure_note(struct pressure *p, uint64_t waited_us, uint64_t allowed_us)
 {
-	if (waited_us > allowed_us / STRAIN_PART)
-		p->strained = true;
+	double part = (double)waited_us / (double)(allowed_us + 1);
+
+	if (part > p->worst)
+		p->worst = part;
 }
 
 void
 pressure_refused(struct pressure *p)
 {
-	p->strained = true;
+	p->refused = true;
 }
 
 static void
@@ -49,11 +52,15 @@
 void
 pressure_tick(struct pressure *p)
 {
-	if (p->strained)
+	if (p->worst <= STRAINED && !p->refused)
+		lower_share(p);
+	else if (p->worst >= p->last_worst * FALLING)
 		raise_share(p);
 	else
-		lower_share(p);
-	p->strained = false;
+		p->step = 0;
+	p->last_worst = p->worst;
+	p->worst = 0;
+	p->refused = false;
 }
 
 void
--- a/core/pressure.h
+++ b/core/pressure.h
@@ -26,7 +26,9 @@
 struct pressure {
 	double share; /* of the work that should not come */
 	double step; /* of the next raise */
-	bool strained; /* since the last tick */
+	double worst; /* longest wait since the last tick, of what is allowed */
+	double last_worst; /* the same, in the tick before */
+	bool refused; /* since the last tick */
 };
 
 struct class_mix {
