link: tell of unsent calls one by one; tests of the platform's words

Ruled out: frames behind a tombstone (the record names the try), deadlines (504, not 503). Change: the link task names each try that never left, and the link's own end says nothing of calls behind it. Failed calls are logged, at most 40 lines a second, to standard output, which never blocks; times are kept in histograms and served with the counters.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -377,6 +377,20 @@
 	    sent, now, out);
 }
 
+void
+entry_unsent(struct node *n, struct addr peer, uint64_t seq, struct instant now,
+    struct msg_list *out)
+{
+	struct entry_call want, *c;
+
+	want.seq = seq;
+	c = RB_FIND(entry_by_seq, &n->tries, &want);
+	if (c == NULL || c->state != ENTRY_SENT || !addr_equal(c->target, peer))
+		return;
+	try_failed(n, c, failure_make(VERDICT_NOT_RUN, REASON_LINK_LOST), false,
+	    now, out);
+}
+
 void
 entry_link_down(struct node *n, struct addr peer, bool sent, struct instant now,
     struct msg_list *out)
--- a/core/entry.c
+++ b/core/entry.c
@@ -73,8 +73,10 @@
 	name_copy(d->org, c->context.org, sizeof(d->org));
 	name_copy(d->service, c->service, sizeof(d->service));
 	snprintf(d->figure, sizeof(d->figure),
-	    "tries=%" PRIu32 " allowance=%" PRIu32 " took_us=%" PRIu64,
-	    c->tries, c->allowance, now.mono_us - c->begun_us);
+	    "tries=%" PRIu32 " allowance=%" PRIu32 " took_us=%" PRIu64
+	    " pressure=%.2f config=%" PRIu64 " confirmed_ms=%" PRIu64,
+	    c->tries, c->allowance, now.mono_us - c->begun_us, c->pressure,
+	    n->conf.version, (now.mono_us - n->conf.confirmed_us) / MSEC_US);
 }
 
 /* End a call with the reply, which is taken over. */
@@ -84,10 +86,13 @@
 {
 	struct msg *m = msg_emit(out, MSG_ANSWER, n->setup.self, c->token);
 
-	if (reply->failure.reason == REASON_NONE)
+	if (reply->failure.reason == REASON_NONE) {
 		n->counters.values[COUNT_ANSWERS]++;
-	else
+		histogram_add(&n->answered, now.mono_us - c->begun_us);
+	} else {
 		n->counters.refused[reply->failure.reason]++;
+		histogram_add(&n->refused, now.mono_us - c->begun_us);
+	}
 	note_decision(n, c, reply->failure, now);
 	reply_move(&m->u.reply, reply);
 	m->u.reply.tries = c->tries;
--- a/core/explain.c
+++ b/core/explain.c
@@ -8,6 +8,7 @@
 struct explain {
 	struct decision records[EXPLAIN_RECORDS];
 	size_t next;
+	uint64_t added; /* decisions so far */
 };
 
 struct explain *
@@ -27,11 +28,22 @@
 {
 	struct decision *d = &e->records[e->next];
 
+	e->added++;
 	e->next = (e->next + 1) % EXPLAIN_RECORDS;
 	memset(d, 0, sizeof(*d));
 	return d;
 }
 
+const struct decision *
+explain_next(const struct explain *e, uint64_t *cursor)
+{
+	if (*cursor + EXPLAIN_RECORDS < e->added)
+		*cursor = e->added - EXPLAIN_RECORDS;
+	if (*cursor == e->added)
+		return NULL;
+	return &e->records[(*cursor)++ % EXPLAIN_RECORDS];
+}
+
 static bool
 decision_matches(const struct decision *d, const char *what)
 {
@@ -43,13 +55,13 @@
 	return strcmp(d->id, what) == 0 || strcmp(tree, what) == 0;
 }
 
-static int
-decision_print(const struct decision *d, char *buf, size_t len)
+void
+explain_line(const struct decision *d, char *buf, size_t len)
 {
-	return snprintf(buf, len,
+	snprintf(buf, len,
 	    "at_ms=%" PRIu64 " step=%s tree=%016" PRIx64
 	    " id=%s org=%s service=%s target=%u.%u.%u.%u:%u verdict=%s "
-	    "reason=%s %s\n",
+	    "reason=%s %s",
 	    d->at_ms, d->step, d->tree, d->id[0] ? d->id : "-",
 	    d->org[0] ? d->org : "-", d->service, d->target.ip >> 24,
 	    (d->target.ip >> 16) & 255, (d->target.ip >> 8) & 255,
@@ -59,6 +71,15 @@
 	    reason_name(d->failure.reason), d->figure);
 }
 
+static int
+decision_print(const struct decision *d, char *buf, size_t len)
+{
+	char line[EXPLAIN_LINE];
+
+	explain_line(d, line, sizeof(line));
+	return snprintf(buf, len, "%s\n", line);
+}
+
 size_t
 explain_print(const struct explain *e, const char *what, char *buf, size_t len)
 {
--- /dev/null
+++ b/core/histogram.c
@@ -0,0 +1,52 @@
+#include "core/histogram.h"
+
+#define FIRST_BITS 6 /* the first bucket ends at 2^6 us */
+#define PARTS 4 /* buckets a power of two */
+
+uint64_t
+histogram_bound(size_t bucket)
+{
+	uint64_t base = UINT64_C(1) << (FIRST_BITS + bucket / PARTS);
+
+	return base + base / PARTS * (bucket % PARTS);
+}
+
+static size_t
+bucket_of(uint64_t us)
+{
+	size_t low = 0, high = HISTOGRAM_BUCKETS - 1, mid;
+
+	while (low < high) {
+		mid = (low + high) / 2;
+		if (us <= histogram_bound(mid))
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return low;
+}
+
+void
+histogram_add(struct histogram *h, uint64_t us)
+{
+	h->count[bucket_of(us)]++;
+	h->total++;
+	h->sum_us += us;
+}
+
+uint64_t
+histogram_quantile(const struct histogram *h, double quantile)
+{
+	double want = quantile * (double)h->total;
+	uint64_t seen = 0;
+	size_t i;
+
+	if (h->total == 0)
+		return 0;
+	for (i = 0; i < HISTOGRAM_BUCKETS - 1; i++) {
+		seen += h->count[i];
+		if ((double)seen >= want)
+			break;
+	}
+	return histogram_bound(i);
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -303,7 +303,13 @@
 	enum msg_kind kind;
 	struct addr peer; /* the daemon it came from or goes to */
 	uint64_t seq; /* pairs a request with its reply */
-	bool sent; /* for MSG_LINK_DOWN: bytes may have left */
+	/*
+	 * For MSG_LINK_DOWN: with a seq, that one try was never sent.  Without,
+	 * the link is gone: bytes of all tries may have left (sent), or none
+	 * has, and those that waited were told of one by one (calls_told).
+	 */
+	bool sent;
+	bool calls_told;
 	bool queued_only; /* for MSG_CANCEL: leave it if it runs */
 	union {
 		struct call call;
--- a/core/node.c
+++ b/core/node.c
@@ -160,10 +160,15 @@
 		control_share(n, msg, now, out);
 		break;
 	case MSG_LINK_DOWN:
+		if (msg->seq != 0) {
+			entry_unsent(n, msg->peer, msg->seq, now, out);
+			break;
+		}
 		n->counters.values[COUNT_LINKS_LOST]++;
 		control_link_down(n, msg->peer, msg->sent, now);
 		membership_link_down(n, msg->peer);
-		entry_link_down(n, msg->peer, msg->sent, now, out);
+		if (!msg->calls_told)
+			entry_link_down(n, msg->peer, msg->sent, now, out);
 		break;
 	case MSG_RUN_DONE:
 		serve_done(n, msg, now, out);
@@ -329,6 +334,20 @@
 	       now.mono_us - n->drain_us > n->setup.grace_us / 2;
 }
 
+bool
+node_next_decision(
+    const struct node *n, uint64_t *cursor, char *line, size_t len)
+{
+	const struct decision *d = explain_next(n->explain, cursor);
+
+	if (d == NULL)
+		return false;
+	line[0] = '\0';
+	if (d->failure.reason != REASON_NONE)
+		explain_line(d, line, len);
+	return true;
+}
+
 const struct counters *
 node_counters(const struct node *n)
 {
@@ -383,6 +402,34 @@
 	return used;
 }
 
+static size_t
+print_times(const struct node *n, char *buf, size_t len)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+	const struct {
+		const char *name;
+		const struct histogram *h;
+	} times[] = {
+	    {"answered", &n->answered},
+	    {"refused", &n->refused},
+	    {"queued", &n->queued},
+	};
+	size_t used = 0, i, q;
+
+	for (i = 0; i < sizeof(times) / sizeof(times[0]); i++) {
+		used += snprintf(buf + used, len - used,
+		    "%s_us_count %" PRIu64 "\n%s_us_sum %" PRIu64 "\n",
+		    times[i].name, times[i].h->total, times[i].name,
+		    times[i].h->sum_us);
+		for (q = 0; q < sizeof(quantiles) / sizeof(quantiles[0]); q++)
+			used += snprintf(buf + used, len - used,
+			    "%s_us{quantile=\"%g\"} %" PRIu64 "\n",
+			    times[i].name, quantiles[q],
+			    histogram_quantile(times[i].h, quantiles[q]));
+	}
+	return used;
+}
+
 char *
 node_status(struct node *n, struct instant now)
 {
@@ -394,14 +441,15 @@
 	    "\ntree_root %d\ntree_epoch %" PRIu64 "\ntree_children %d\n"
 	    "calls_now %zu\njobs_now %zu\nids_remembered %zu\n"
 	    "limit_now %u\nwaiting_now %zu\nthreshold_class %u\n"
-	    "draining %d\n",
+	    "draining %d\npressure_permille %u\n",
 	    n->conf.version, (now.mono_us - n->conf.confirmed_us) / MSEC_US,
 	    n->tree.is_root, n->tree.epoch, n->tree.nchildren, n->ncalls,
 	    n->njobs, ledger_count(n->ledger), limit_now(&n->target.limit),
 	    n->target.shed ? shed_count(n->target.shed) : 0,
 	    n->target.shed ? shed_threshold(n->target.shed).importance : 0,
-	    n->draining);
+	    n->draining, n->target.told_pressure);
 	used += print_counters(n, buf + used, STATUS_BYTES - used);
+	used += print_times(n, buf + used, STATUS_BYTES - used);
 	print_groups(n, buf + used, STATUS_BYTES - used, now);
 	return buf;
 }
--- a/core/node.h
+++ b/core/node.h
@@ -86,6 +86,12 @@
 bool node_is_draining(const struct node *);
 /* Whether a leaving node takes no more calls of callers. */
 bool node_is_closed(const struct node *, struct instant now);
+/*
+ * The decision after the one that *cursor stands for, as a line, if it was
+ * a failure; false when there is none left.  The line is empty for others.
+ */
+bool node_next_decision(
+    const struct node *, uint64_t *cursor, char *line, size_t len);
 const struct counters *node_counters(const struct node *);
 /* Print the state for operators, "name value" lines; the caller frees it. */
 char *node_status(struct node *, struct instant now);
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -15,6 +15,7 @@
 #define CORE_NODE_IMPL_H
 
 #include "core/explain.h"
+#include "core/histogram.h"
 #include "core/ledger.h"
 #include "core/node.h"
 #include "core/pressure.h"
@@ -139,6 +140,9 @@
 	    acquaintances[MAX_SEEDS]; /* daemons that spoke to us last */
 	unsigned int nacquaintances;
 	struct counters counters;
+	struct histogram answered; /* from call to whole answer, at entry */
+	struct histogram refused; /* from call to failure, at entry */
+	struct histogram queued; /* wait for the local target */
 	struct confstate conf;
 	struct quota *quota;
 	struct tree tree;
@@ -177,6 +181,9 @@
     struct node *, struct addr, bool sent, struct instant, struct msg_list *);
 /* End all calls: the daemon has to be gone. */
 void entry_abandon(struct node *, struct instant, struct msg_list *);
+/* One try never left this daemon. */
+void entry_unsent(struct node *, struct addr, uint64_t seq, struct instant,
+    struct msg_list *);
 void entry_tick(struct node *, struct instant, struct msg_list *);
 /* The configuration changed: look at the keys of all calls again. */
 void entry_recheck(struct node *, struct instant, struct msg_list *);
--- a/core/serve.c
+++ b/core/serve.c
@@ -365,6 +365,7 @@
 	j->started_us = now.mono_us;
 	note_wait(n, j, now);
 	n->target.running++;
+	histogram_add(&n->queued, now.mono_us - j->item.queued_us);
 	n->counters.values[COUNT_JOBS_STARTED]++;
 	m = msg_emit(out, MSG_RUN, n->setup.self, j->seq);
 	m->u.forward = j->forward;
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -5,11 +5,13 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "core/explain.h"
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 
 #define LINGER_US (300 * MSEC_US) /* from drained to exit: answers leave */
 
+#define LINES_A_SECOND 40 /* of failed calls; the rest is only counted */
 #define KEY_PROOF_PERCENT 90 /* of the time in which a key must be refused */
 
 struct decide {
@@ -18,6 +20,10 @@
 	struct event *timer;
 	uint64_t drained_us;
 	uint64_t version;
+	uint64_t cursor; /* of decisions that were logged */
+	unsigned int lines; /* that may yet be logged in this second */
+	unsigned int suppressed;
+	uint64_t second; /* in which they are counted */
 	bool draining;
 	bool closed;
 };
@@ -95,6 +101,33 @@
 		evtimer_add(s->timer, &tv);
 }
 
+/* One line a failed call, as far as the second's lines reach. */
+static void
+log_decisions(struct decide *s)
+{
+	uint64_t second = daemon_now().mono_us / SEC_US;
+	char line[EXPLAIN_LINE];
+
+	if (second != s->second) {
+		if (s->suppressed > 0)
+			log_line(LOG_NOTICE, "decisions-suppressed", "count=%u",
+			    s->suppressed);
+		s->second = second;
+		s->lines = LINES_A_SECOND;
+		s->suppressed = 0;
+	}
+	while (node_next_decision(s->node, &s->cursor, line, sizeof(line))) {
+		if (line[0] == '\0')
+			continue;
+		if (s->lines == 0) {
+			s->suppressed++;
+			continue;
+		}
+		s->lines--;
+		log_line(LOG_INFO, "call-failed", "%s", line);
+	}
+}
+
 static void
 receive(void *state, struct msg *m)
 {
@@ -176,6 +209,7 @@
 	(void)what;
 	node_tick(s->node, now, &out);
 	send_all(s, &out);
+	log_decisions(s);
 	publish(s);
 	check_drained(s, now);
 	arm(s);
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -131,6 +131,34 @@
 	return true;
 }
 
+/*
+ * The core may have handed us further calls for the peer meanwhile, which
+ * will be sent: so what never left is told try by try.
+ */
+static void
+tell_unsent(struct links *s, const struct msg *unsent)
+{
+	struct msg *m;
+
+	if (unsent->kind != MSG_FORWARD)
+		return;
+	m = msg_create(MSG_LINK_DOWN);
+	m->peer = unsent->peer;
+	m->seq = unsent->seq;
+	task_send(s->daemon->decide, m);
+}
+
+static void
+tell_down(struct links *s, struct addr peer, bool sent)
+{
+	struct msg *m = msg_create(MSG_LINK_DOWN);
+
+	m->peer = peer;
+	m->sent = sent;
+	m->calls_told = !sent;
+	task_send(s->daemon->decide, m);
+}
+
 /* Close a link and tell the core, if it could have used it. */
 static void
 link_close(struct link *l, const char *cause)
@@ -142,10 +170,9 @@
 	    "peer=%s cause=%s outgoing=%d", addr_text(l->peer, text), cause,
 	    l->outgoing);
 	if (l->state == LINK_OPEN || (l->outgoing && !hand_over(l))) {
-		m = msg_create(MSG_LINK_DOWN);
-		m->peer = l->peer;
-		m->sent = l->state == LINK_OPEN;
-		task_send(l->links->daemon->decide, m);
+		TAILQ_FOREACH (m, &l->waiting, entry)
+			tell_unsent(l->links, m);
+		tell_down(l->links, l->peer, l->state == LINK_OPEN);
 	}
 	link_free(l);
 }
@@ -385,10 +412,8 @@
 static void
 report_unsent(struct links *s, struct msg *m)
 {
-	struct msg *down = msg_create(MSG_LINK_DOWN);
-
-	down->peer = m->peer;
-	task_send(s->daemon->decide, down);
+	tell_unsent(s, m);
+	tell_down(s, m->peer, false);
 	msg_destroy(m);
 }
 
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -1,8 +1,13 @@
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "daemon/log.h"
 
+#define LINE_BYTES 1024
+
 static int max_priority = LOG_INFO;
 
 static const char *const levels[] = {
@@ -14,19 +19,56 @@
 	max_priority = priority;
 }
 
+void
+log_start(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	/* A reader that stops reading must not stop the daemon. */
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/* Lines that find no room are counted, and the next one that does says so. */
+static void
+put(const char *line, size_t len)
+{
+	static unsigned int lost;
+	char note[64];
+	int n;
+
+	if (lost > 0) {
+		n = snprintf(note, sizeof(note),
+		    "<4>cranberrywayd: level=warning event=log-lost count=%u\n",
+		    lost);
+		if (write(STDOUT_FILENO, note, (size_t)n) < 0) {
+			lost++;
+			return;
+		}
+		lost = 0;
+	}
+	if (write(STDOUT_FILENO, line, len) < 0)
+		lost++;
+}
+
 void
 log_line(int priority, const char *event, const char *fmt, ...)
 {
-	char fields[512];
+	char line[LINE_BYTES];
 	va_list ap;
+	size_t used;
 
 	if (priority > max_priority)
 		return;
+	used = (size_t)snprintf(line, sizeof(line),
+	    "<%d>cranberrywayd: level=%s event=%s ", priority,
+	    levels[priority & 7], event);
 	va_start(ap, fmt);
-	vsnprintf(fields, sizeof(fields), fmt, ap);
+	vsnprintf(line + used, sizeof(line) - used - 1, fmt, ap);
 	va_end(ap);
-	fprintf(stderr, "<%d>cranberrywayd: level=%s event=%s %s\n", priority,
-	    levels[priority & 7], event, fields);
+	used = strlen(line);
+	line[used++] = '\n';
+	put(line, used);
 }
 
 const char *
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -1,5 +1,5 @@
 /*
- * log - syslog-style lines with key=value fields on standard error
+ * log - syslog-style lines with key=value fields on standard output
  *
  *	log_line(LOG_WARNING, "link-closed", "peer=%s cause=%s", ...);
  *
@@ -17,6 +17,8 @@
 
 void log_line(int priority, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/* Writing never blocks from here on: lines that find no room are counted. */
+void log_start(void);
 /* Lines less urgent than this priority are left out. */
 void log_set_level(int priority);
 /* Write an address as "IP:PORT" into buf and return it. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -328,6 +328,7 @@
 	g_option_context_free(ctx);
 	if (want_describe)
 		return describe();
+	log_start();
 	if (path == NULL)
 		path = g_strdup(g_getenv(PLATFORM_SETTINGS_ENV));
 	if (path == NULL) {
--- /dev/null
+++ b/t/http-text.h
@@ -0,0 +1,55 @@
+/* Helpers to read HTTP messages from texts in tests. */
+#ifndef T_HTTP_TEXT_H
+#define T_HTTP_TEXT_H
+
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "daemon/http_message.h"
+}
+
+/* A message that was read whole from a text. */
+struct TextMessage {
+	struct http_reader r;
+
+	TextMessage(enum http_reader_kind kind, const std::string &text)
+	{
+		const struct http_limits limits = {65536, 1 << 20};
+
+		http_reader_init(&r, kind, &limits);
+		http_reader_feed(&r, text.data(), text.size());
+		EXPECT_EQ(r.state, HTTP_READER_WHOLE) << text;
+	}
+	~TextMessage()
+	{
+		http_reader_release(&r);
+	}
+	const struct http_message *
+	get() const
+	{
+		return &r.msg;
+	}
+};
+
+inline std::string
+request_text(const std::string &line, const std::string &headers,
+    const std::string &body = "")
+{
+	std::string length =
+	    body.empty()
+		? ""
+		: "Content-Length: " + std::to_string(body.size()) + "\r\n";
+
+	return line + " HTTP/1.1\r\n" + headers + length + "\r\n" + body;
+}
+
+inline std::string
+answer_text(int status, const std::string &headers, const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) + " Word\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+#endif
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -62,7 +62,7 @@
 	$3
 	EOF
 	"$B/cranberrywayd" --settings "$DIR/daemon$1.ini" \
-		2>>"$DIR/daemon$1.err" &
+		>>"$DIR/daemon$1.err" 2>&1 &
 	started "DAEMON_PID_$1"
 	wait_http "$(port "$1" 2)" /status
 }
--- /dev/null
+++ b/t/test-attempt.cc
@@ -0,0 +1,155 @@
+/*
+ * The tries of a call at its entry daemon, when links break around them.
+ */
+#include <gtest/gtest.h>
+#include <vector>
+
+extern "C" {
+#include "core/node.h"
+#include "platform/platform.h"
+}
+
+namespace {
+
+const char CONFIG[] =
+    R"({"version":1,"resources":[)"
+    R"({"entry_type":"upstreams","metadata":{"name":"a"},"spec":{}},)"
+    R"({"entry_type":"routes","metadata":{"name":"r"},"spec":{)"
+    R"("authority":"x","path_prefix":"/p/","route_type":"unsafe",)"
+    R"("upstream":"a","max_attempts":2,"public":true}}]})";
+
+const struct addr SELF = {0x0a000001, 7000}, PEER = {0x0a000002, 7000};
+
+class Attempt : public testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		struct node_setup s = {};
+
+		s.self = SELF;
+		name_copy(s.dc, "z", sizeof(s.dc));
+		s.incarnation = now.wall_ms;
+		s.seed = 1;
+		s.balancer = &balancer_two_choices;
+		s.limiter = &limiter_fixed;
+		s.shedder = &shedder_goal;
+		s.retrier = &retrier_tree;
+		s.guard = &guard_attempt;
+		s.parser = &catalog_parser_platform;
+		s.max_calls = s.max_queue = s.max_ids = 100;
+		s.default_deadline_us = s.max_deadline_us = SEC_US;
+		node = node_create(&s);
+		configure();
+		call(1);
+		/* The first call makes the daemon look for members. */
+		learn_member();
+	}
+	void
+	TearDown() override
+	{
+		msg_list_clear(&out);
+		node_destroy(node);
+	}
+	void
+	configure()
+	{
+		struct msg *m = msg_create(MSG_ROW);
+
+		name_copy(m->u.row.key, "config", sizeof(m->u.row.key));
+		m->u.row.status = ROW_FOUND;
+		m->u.row.version = 1;
+		buffer_set(&m->u.row.value, CONFIG, sizeof(CONFIG) - 1);
+		node_handle(node, m, now, &out);
+	}
+	void
+	learn_member()
+	{
+		struct msg *m = msg_create(MSG_MEMBERS);
+		struct members *r = &m->u.members;
+
+		m->peer = PEER;
+		name_copy(r->service, "a", sizeof(r->service));
+		r->records = static_cast<struct member_record *>(
+		    xcalloc(1, sizeof(*r->records)));
+		r->count = 1;
+		r->records[0].addr = PEER;
+		r->records[0].incarnation = now.wall_ms;
+		r->records[0].slots = 8;
+		node_handle(node, m, now, &out);
+	}
+	void
+	call(uint64_t token)
+	{
+		struct msg *m = msg_create(MSG_CALL);
+		struct request *r = &m->u.call.request;
+
+		m->seq = token;
+		name_copy(r->method, "POST", sizeof(r->method));
+		name_copy(r->host, "x", sizeof(r->host));
+		name_copy(r->path, "/p/1", sizeof(r->path));
+		node_handle(node, m, now, &out);
+	}
+	void
+	link_down(uint64_t seq, bool sent, bool told)
+	{
+		struct msg *m = msg_create(MSG_LINK_DOWN);
+
+		m->peer = PEER;
+		m->seq = seq;
+		m->sent = sent;
+		m->calls_told = told;
+		node_handle(node, m, now, &out);
+	}
+	/* The numbers of the messages of a kind that are to be sent. */
+	std::vector<uint64_t>
+	sent(enum msg_kind kind)
+	{
+		std::vector<uint64_t> seqs;
+		struct msg *m;
+
+		TAILQ_FOREACH (m, &out, entry) {
+			if (m->kind == kind)
+				seqs.push_back(m->seq);
+		}
+		return seqs;
+	}
+
+	struct node *node;
+	struct instant now = {1000 * SEC_US, 1700000000000};
+	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+};
+
+} // namespace
+
+/*
+ * Found by hunt-d9be-19 of studna-sit, answered 503 and run a second later:
+ * a link failed while a further call for the same peer was on its way to the
+ * link task, which then sent it over the next link.
+ */
+TEST_F(Attempt, AFailedLinkDoesNotUnsendACallBehindIt)
+{
+	ASSERT_EQ(sent(MSG_FORWARD).size(), 1u);
+	link_down(0, false, true);
+	EXPECT_TRUE(sent(MSG_ANSWER).empty());
+}
+
+TEST_F(Attempt, ATryThatNeverLeftIsNotRun)
+{
+	struct msg *m;
+
+	ASSERT_EQ(sent(MSG_FORWARD).size(), 1u);
+	link_down(sent(MSG_FORWARD)[0], false, false);
+	ASSERT_EQ(sent(MSG_ANSWER).size(), 1u);
+	m = TAILQ_LAST(&out, msg_list);
+	ASSERT_EQ(m->kind, MSG_ANSWER);
+	EXPECT_EQ(m->u.reply.failure.verdict, VERDICT_NOT_RUN);
+}
+
+TEST_F(Attempt, ATryThatMayHaveLeftIsAskedAfter)
+{
+	ASSERT_EQ(sent(MSG_FORWARD).size(), 1u);
+	link_down(0, true, false);
+	EXPECT_TRUE(sent(MSG_ANSWER).empty());
+	EXPECT_EQ(sent(MSG_ASK_FATE), sent(MSG_FORWARD));
+}
--- /dev/null
+++ b/t/test-headers.cc
@@ -0,0 +1,236 @@
+/* What the platform's headers mean, and what is told to callers and targets. */
+#include <sodium.h>
+
+#include "t/http-text.h"
+
+extern "C" {
+#include "daemon/daemon.h"
+#include "platform/platform.h"
+}
+
+namespace {
+
+const struct dialect *D = &dialect_platform;
+
+struct Call {
+	struct msg *m = msg_create(MSG_CALL);
+	bool ok;
+
+	explicit Call(const std::string &headers,
+	    const std::string &line = "GET /a/b?c=1")
+	{
+		TextMessage t(HTTP_READ_REQUEST,
+		    request_text(line, "Host: shop.example\r\n" + headers));
+
+		ok = D->read_request(nullptr, t.get(), &m->u.call);
+	}
+	~Call()
+	{
+		msg_destroy(m);
+	}
+	std::string
+	headers() const
+	{
+		const struct buffer &b = m->u.call.request.headers;
+
+		return std::string(b.data != nullptr ? b.data : "", b.len);
+	}
+};
+
+std::string
+text_of(struct evbuffer *b)
+{
+	std::string s(
+	    (const char *)evbuffer_pullup(b, -1), evbuffer_get_length(b));
+
+	evbuffer_free(b);
+	return s;
+}
+
+struct Answer {
+	struct reply r = {};
+
+	explicit Answer(const std::string &text)
+	{
+		TextMessage t(HTTP_READ_RESPONSE, text);
+
+		D->read_answer(t.get(), &r);
+	}
+	~Answer()
+	{
+		reply_release(&r);
+	}
+};
+
+int
+status_of(enum verdict v, enum reason reason)
+{
+	struct call_tag tag = {};
+	struct reply r = {};
+	struct evbuffer *h = evbuffer_new(), *b = evbuffer_new();
+	int status;
+
+	r.failure = failure_make(v, reason);
+	status = D->write_failure(&tag, &r, h, b);
+	evbuffer_free(h);
+	evbuffer_free(b);
+	return status;
+}
+
+} // namespace
+
+TEST(Headers, ReadsWhatACallerSays)
+{
+	Call c("Request-Id: 9c41\r\nDeadline-Ms: 6000\r\n"
+	       "Authorization: Bearer secret\r\nX-Other: v\r\n");
+	uint8_t hash[KEY_HASH_LEN];
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_STREQ(c.m->u.call.id, "9c41");
+	EXPECT_EQ(c.m->u.call.context.deadline_ms, 6000u);
+	EXPECT_STREQ(c.m->u.call.request.host, "shop.example");
+	EXPECT_STREQ(c.m->u.call.request.path, "/a/b?c=1");
+	ASSERT_TRUE(c.m->u.call.has_key);
+	crypto_generichash(
+	    hash, sizeof(hash), (const uint8_t *)"secret", 6, NULL, 0);
+	EXPECT_EQ(memcmp(hash, c.m->u.call.key_hash, sizeof(hash)), 0);
+	EXPECT_EQ(c.headers(), "Request-Id: 9c41\r\nX-Other: v\r\n");
+}
+
+/* The target must see neither the key nor what only we may say. */
+TEST(Headers, DropsKeyConnectionHeadersAndOurOwn)
+{
+	Call c("authorization: Bearer secret\r\ntenant-id: other\r\n"
+	       "Caller-Service: other\r\nTarget-Instance: i-0\r\n"
+	       "Connection: keep-alive\r\nKeep-Alive: timeout=1\r\n"
+	       "TE: trailers\r\nX-Other: v\r\n");
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_EQ(c.headers(), "X-Other: v\r\n");
+}
+
+TEST(Headers, AWrongDeadlineCountsAsNone)
+{
+	Call c("Deadline-Ms: soon\r\n");
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_EQ(c.m->u.call.context.deadline_ms, 0u);
+}
+
+TEST(Headers, RefusesRequestsWithoutHostOrPath)
+{
+	TextMessage t(HTTP_READ_REQUEST, request_text("GET /a", "A: b\r\n"));
+	struct msg *m = msg_create(MSG_CALL);
+
+	EXPECT_FALSE(D->read_request(nullptr, t.get(), &m->u.call));
+	msg_destroy(m);
+	EXPECT_FALSE(Call("", "OPTIONS *").ok);
+}
+
+TEST(Headers, TellsTheTargetWhoAsksAndHowLong)
+{
+	struct msg *m = msg_create(MSG_RUN);
+	struct forward *f = &m->u.forward;
+	struct evbuffer *out = evbuffer_new();
+
+	name_copy(f->request.host, "shop.example", HOST_LEN);
+	buffer_set(&f->request.headers, "Request-Id: 9c41\r\n", 18);
+	f->context.deadline_ms = 750;
+	name_copy(f->target_id, "i-7", ID_LEN);
+	name_copy(f->context.org, "brno", NAME_LEN);
+	name_copy(f->caller, "quotes", NAME_LEN);
+	D->write_run(nullptr, f, out);
+	EXPECT_EQ(text_of(out),
+	    "Request-Id: 9c41\r\nHost: shop.example\r\n"
+	    "Deadline-Ms: 750\r\nTarget-Instance: i-7\r\n"
+	    "Tenant-Id: brno\r\nCaller-Service: quotes\r\n");
+	msg_destroy(m);
+}
+
+/* 429, 503, 408 and 421 promise that the request did not run. */
+TEST(Headers, OnlyNotRunIsAnsweredWithAPromise)
+{
+	for (int i = REASON_NONE + 1; i < REASON_COUNT; i++) {
+		enum reason reason = (enum reason)i;
+		int maybe = status_of(VERDICT_MAY_HAVE_RUN, reason);
+		int ran = status_of(VERDICT_RAN, reason);
+
+		EXPECT_TRUE(maybe == 502 || maybe == 504) << maybe;
+		EXPECT_TRUE(ran == 502 || ran == 504) << ran;
+	}
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_OVER_RATE), 429);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_SHED), 503);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_DEADLINE), 503);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_KEY_REFUSED), 401);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_NO_KEY), 401);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_NO_ROUTE), 404);
+	/* Without a configuration nothing may be called unknown. */
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_NO_CONFIG), 503);
+	EXPECT_EQ(status_of(VERDICT_NOT_RUN, REASON_STALE_CONFIG), 503);
+}
+
+TEST(Headers, RetryAfterIsInSecondsWithFractions)
+{
+	struct call_tag tag = {};
+	struct reply r = {};
+	struct evbuffer *h = evbuffer_new(), *b = evbuffer_new();
+
+	name_copy(tag.id, "9c41", ID_LEN);
+	r.failure = failure_make(VERDICT_NOT_RUN, REASON_SHED);
+	r.retry_after_ms = 350;
+	D->write_failure(&tag, &r, h, b);
+	EXPECT_EQ(text_of(h), "Request-Id: 9c41\r\nRetry-After: 0.350\r\n");
+	evbuffer_free(b);
+}
+
+TEST(Headers, PassesATargetsAnswerUnchanged)
+{
+	Answer a(answer_text(200,
+	    "Response-Signature: s\r\nRequest-Id: 9c41\r\n"
+	    "Server-Load: 1,0,8\r\nKeep-Alive: timeout=10\r\n",
+	    "bytes"));
+
+	EXPECT_EQ(a.r.failure.reason, REASON_NONE);
+	EXPECT_EQ(a.r.status, 200);
+	EXPECT_EQ(std::string(a.r.headers.data, a.r.headers.len),
+	    "Response-Signature: s\r\nRequest-Id: 9c41\r\n");
+	EXPECT_EQ(std::string(a.r.body.data, a.r.body.len), "bytes");
+}
+
+TEST(Headers, KnowsWhatDidNotRun)
+{
+	Answer full(answer_text(503, "Not-Executed: 1\r\n", ""));
+	Answer other(answer_text(421, "Instance-Id: i-0\r\n", ""));
+
+	EXPECT_EQ(full.r.failure.verdict, VERDICT_NOT_RUN);
+	EXPECT_EQ(full.r.failure.reason, REASON_SHED);
+	EXPECT_EQ(other.r.failure.verdict, VERDICT_NOT_RUN);
+}
+
+TEST(Headers, ASpoiledAnswerIsNoSuccessAndNoPromise)
+{
+	const std::string bad[] = {
+	    answer_text(200, "", "bytes"),
+	    answer_text(200,
+		"Response-Signature: s\r\nContent-Encoding: gzip\r\n", "x"),
+	    answer_text(503, "", ""),
+	    answer_text(429, "", ""),
+	    answer_text(408, "", ""),
+	};
+
+	for (const std::string &text : bad) {
+		Answer a(text);
+
+		EXPECT_EQ(a.r.failure.reason, REASON_TARGET_FAILED) << text;
+		EXPECT_EQ(a.r.failure.verdict, VERDICT_MAY_HAVE_RUN) << text;
+	}
+}
+
+TEST(Headers, AnswersAreToldApartByTheirId)
+{
+	TextMessage own(
+	    HTTP_READ_RESPONSE, answer_text(200, "Request-Id: 7\r\n", ""));
+
+	EXPECT_TRUE(D->answers("7", own.get()));
+	EXPECT_FALSE(D->answers("8", own.get()));
+}
--- /dev/null
+++ b/t/test-histogram.cc
@@ -0,0 +1,36 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "core/histogram.h"
+}
+
+TEST(Histogram, ValuesReadBackAreNearTheOnesThatWentIn)
+{
+	for (uint64_t us = 64; us < 200000000; us += us / 7 + 1) {
+		struct histogram h = {};
+		uint64_t got;
+
+		histogram_add(&h, us);
+		got = histogram_quantile(&h, 0.5);
+		EXPECT_GE(got, us);
+		EXPECT_LE((double)got, 1.25 * (double)us + 1);
+	}
+}
+
+TEST(Histogram, QuantilesAndBounds)
+{
+	struct histogram h = {};
+
+	EXPECT_EQ(histogram_quantile(&h, 0.99), 0u);
+	for (int i = 0; i < 99; i++)
+		histogram_add(&h, 1000);
+	histogram_add(&h, 1000000);
+	EXPECT_LE(histogram_quantile(&h, 0.5), 1250u);
+	EXPECT_LE(histogram_quantile(&h, 0.99), 1250u);
+	EXPECT_GE(histogram_quantile(&h, 1), 1000000u);
+	histogram_add(&h, UINT64_MAX);
+	EXPECT_EQ(
+	    histogram_quantile(&h, 1), histogram_bound(HISTOGRAM_BUCKETS - 1));
+	for (size_t i = 1; i < HISTOGRAM_BUCKETS; i++)
+		EXPECT_GT(histogram_bound(i), histogram_bound(i - 1));
+}
--- /dev/null
+++ b/t/test-instances.cc
@@ -0,0 +1,106 @@
+/* Heartbeats of targets: what is taken, and what names no target to use. */
+#include "t/http-text.h"
+
+extern "C" {
+#include "config/settings.h"
+#include "platform/platform.h"
+}
+
+namespace {
+
+class Instances : public testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		s = settings_create();
+		name_copy(s->service, "orders", sizeof(s->service));
+		addr_parse("10.0.0.9:8080", &s->target);
+	}
+	void
+	TearDown() override
+	{
+		settings_destroy(s);
+	}
+	enum announce_verdict
+	read(const std::string &line, const std::string &body)
+	{
+		TextMessage t(
+		    HTTP_READ_REQUEST, request_text(line, "Host: x\r\n", body));
+
+		memset(&a, 0, sizeof(a));
+		return announcement_platform.read(t.get(), s, &a);
+	}
+	enum announce_verdict
+	beat(const std::string &body)
+	{
+		return read("PUT /api/instances/i-7", body);
+	}
+
+	struct settings *s;
+	struct announce a;
+};
+
+std::string
+body(const std::string &state, const std::string &rest)
+{
+	return R"({"upstream":"orders","address":"10.0.0.9:8080",)"
+	       R"("zone":"z","version":"v1","slots":264,"state":")" +
+	       state + "\"," + rest + "}";
+}
+
+} // namespace
+
+TEST_F(Instances, ReadsAHeartbeat)
+{
+	EXPECT_EQ(beat(body("ready",
+		      R"("warmup_left_s":1.5,"seq":4,"born":1700000000000)")),
+	    ANNOUNCE_TAKEN);
+	EXPECT_STREQ(a.id, "i-7");
+	EXPECT_STREQ(a.service, "orders");
+	EXPECT_EQ(a.slots, 264u);
+	EXPECT_EQ(a.seq, 5u);
+	EXPECT_EQ(a.born_ms, 1700000000000u);
+	EXPECT_EQ(a.warmup_ms, 1500u);
+	EXPECT_FALSE(a.leaving);
+	EXPECT_TRUE(a.daemon_stays);
+}
+
+TEST_F(Instances, LeavingIsSaidInTwoWays)
+{
+	EXPECT_EQ(beat(body("draining", R"("seq":4)")), ANNOUNCE_TAKEN);
+	EXPECT_TRUE(a.leaving);
+	EXPECT_EQ(read("DELETE /api/instances/i-7", ""), ANNOUNCE_TAKEN);
+	EXPECT_TRUE(a.leaving);
+	EXPECT_STREQ(a.id, "i-7");
+}
+
+TEST_F(Instances, OtherWritersNameNoTarget)
+{
+	const std::string bad[] = {
+	    "",
+	    "not json",
+	    "[]",
+	    body("ready", R"("seq":"4")"),
+	    body("ready", R"("seq":-4)"),
+	    body("ready", R"("seq":4,"born":"then")"),
+	    body("resting", R"("seq":4)"),
+	    R"({"upstream":"other","address":"10.0.0.9:8080","slots":4,)"
+	    R"("state":"ready","seq":4})",
+	    R"({"upstream":"orders","address":"10.0.0.8:8080","slots":4,)"
+	    R"("state":"ready","seq":4})",
+	    R"({"upstream":"orders","address":"10.0.0.9:8080","slots":0,)"
+	    R"("state":"ready","seq":4})",
+	    R"({"upstream":"orders","address":"10.0.0.9:8080",)"
+	    R"("state":"ready","seq":4})",
+	};
+
+	for (const std::string &b : bad)
+		EXPECT_EQ(beat(b), ANNOUNCE_MALFORMED) << b;
+}
+
+TEST_F(Instances, OtherPathsAreUnknown)
+{
+	EXPECT_EQ(read("PUT /api/other", ""), ANNOUNCE_UNKNOWN_PATH);
+	EXPECT_EQ(read("PUT /api/instances/", ""), ANNOUNCE_UNKNOWN_PATH);
+}
--- a/t/test-link.cc
+++ b/t/test-link.cc
@@ -21,7 +21,8 @@
 
 struct Seen {
 	std::vector<enum msg_kind> kinds;
-	std::vector<bool> sent;
+	std::vector<bool> sent, told;
+	std::vector<uint64_t> seqs;
 };
 
 void
@@ -31,6 +32,8 @@
 
 	seen->kinds.push_back(m->kind);
 	seen->sent.push_back(m->sent);
+	seen->told.push_back(m->calls_told);
+	seen->seqs.push_back(m->seq);
 	msg_destroy(m);
 }
 
@@ -196,8 +199,14 @@
 {
 	send_call();
 	run_ms(1500);
-	ASSERT_EQ(seen.kinds, std::vector<enum msg_kind>{MSG_LINK_DOWN});
+	ASSERT_EQ(seen.kinds,
+	    (std::vector<enum msg_kind>{MSG_LINK_DOWN, MSG_LINK_DOWN}));
+	/* The try by its number, then the link, which says nothing of others.
+	 */
+	EXPECT_EQ(seen.seqs, (std::vector<uint64_t>{1, 0}));
 	EXPECT_FALSE(seen.sent[0]);
+	EXPECT_FALSE(seen.sent[1]);
+	EXPECT_TRUE(seen.told[1]);
 }
 
 /*
