--- a/t/demo.sh
+++ b/t/demo.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 128
 set -e
 packages="gcc g++ make pkg-config curl libevent-dev libevhtp-dev \
- libprotobuf-c-dev libglib2.0-dev libsodium-dev libinih-dev libxxhash-dev \
+ libprotobuf-c-dev libglib2.0-dev libsodium-dev libinih-dev libhttp-parser-dev libjansson-dev libxxhash-dev \
  libbsd-dev"
 dpkg -s $packages >/dev/null 2>&1 || {
 	apt-get update -q >/dev/null
