config: read only the words that a route's importance has

Cause: clang-tidy found that the words of importance were walked to the new IMPORTANCE_COUNT, past the three that there are. Change: up to IMPORTANCE_HIGH; header lines are copied with stpcpy. Before: an unknown word read behind the table. After: test-text refuses one with its line.

--- a/config/text.c
+++ b/config/text.c
@@ -265,7 +265,7 @@
 	static const char *const words[] = {"low", "normal", "high"};
 	int i;
 
-	for (i = 0; i < IMPORTANCE_COUNT; i++) {
+	for (i = 0; i <= IMPORTANCE_HIGH; i++) {
 		if (strcmp(value, words[i]) == 0) {
 			*out = i;
 			return true;
--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -18,31 +18,26 @@
     bool (*passes)(const char *name, const char *value), struct buffer *out)
 {
 	const char *name, *value;
-	size_t len = 0, used = 0, n;
-	char *data;
+	size_t len = 0;
+	char *at;
 	int i;
 
 	for (i = 0; i < m->nfields; i++)
 		len += strlen(http_message_name(m, i)) +
 		       strlen(http_message_value(m, i)) + 4;
-	data = xcalloc(1, len + 1);
+	buffer_release(out);
+	out->data = at = xcalloc(1, len + 1);
 	for (i = 0; i < m->nfields; i++) {
 		name = http_message_name(m, i);
 		value = http_message_value(m, i);
 		if (!passes(name, value))
 			continue;
-		n = strlen(name);
-		memcpy(data + used, name, n);
-		memcpy(data + used + n, ": ", 2);
-		used += n + 2;
-		n = strlen(value);
-		memcpy(data + used, value, n);
-		memcpy(data + used + n, "\r\n", 2);
-		used += n + 2;
+		at = stpcpy(at, name);
+		at = stpcpy(at, ": ");
+		at = stpcpy(at, value);
+		at = stpcpy(at, "\r\n");
 	}
-	buffer_release(out);
-	out->data = data;
-	out->len = used;
+	out->len = (size_t)(at - out->data);
 }
 
 bool
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -289,8 +289,8 @@
 		int on = 1;
 
 		Loop::SetUp();
-		listener = keep(
-		    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+		listener =
+		    keep(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
 		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 		ASSERT_EQ(
 		    bind(listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
--- a/t/test-text.cc
+++ b/t/test-text.cc
@@ -77,6 +77,9 @@
 	expect_error("[organisation o]\nkey = abc\n", "not the hash", 3);
 	expect_error("[datacentre b-c]\n", "bad name", 2);
 	expect_error("nonsense\n", "not INI", 2);
+	expect_error("[service b]\n[route /x]\nservice = b\n"
+		     "importance = nested\n",
+	    "importance: bad value", 5);
 	expect_error("[policy]\nretries = 99\n", "bad value", 3);
 	expect_error("[policy]\nweighing = fast\n", "bad value", 3);
 	expect_error(
