--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
 LDFLAGS	+= $(SANFLAGS)
 
-CORE	= attempt balance bucket catalog confstate control counters entry explain fence grant group guard hash histogram \
+CORE	= announced attempt balance bucket catalog confstate control counters entry explain fate fence grant group guard hash histogram \
 	  leave ledger limit membership msg node operate pressure quota retry serve shed \
 	  tree types verdict
 WIRE	= context frame_decode frame_encode httpmap link.pb-c
--- /dev/null
+++ b/core/fate.c
@@ -0,0 +1,67 @@
+/*
+ * What became of a try: asked by an entry daemon whose link broke, answered
+ * from the ledger; and the ledger of a member that leaves.
+ */
+#include <string.h>
+
+#include "core/node_impl.h"
+
+/* Calendars go back: an incarnation is ours only if we had that very one. */
+static bool
+was_ours(const struct node *n, uint64_t incarnation)
+{
+	int i;
+
+	for (i = 0; i < MAX_JOINS; i++) {
+		if (incarnation != 0 && n->joined[i] == incarnation)
+			return true;
+	}
+	return false;
+}
+
+void
+serve_ask_fate(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	struct fate *f = &msg->u.fate;
+	struct ledger_record *rec;
+	enum fate_state state;
+	struct msg *m;
+
+	/* An earlier life of this daemon took its ledger along. */
+	if (!was_ours(n, f->incarnation))
+		state = FATE_DOUBT;
+	else
+		state = n->setup.guard->ask(
+		    n->ledger, f->org, f->id, msg->peer, f->seq, now, &rec);
+	if (state == FATE_TOMBSTONE)
+		n->counters.values[COUNT_TOMBSTONES]++;
+	m = msg_emit(out, MSG_FATE, msg->peer, msg->seq);
+	m->u.fate = *f;
+	m->u.fate.state = state;
+	if (state == FATE_RUNNING)
+		ledger_wait(rec, msg->peer, f->seq);
+	if (state != FATE_RAN)
+		return;
+	if (rec->kept)
+		serve_send_copy(n, msg->peer, f->seq, &rec->reply, out);
+	else
+		serve_send_failure(n, msg->peer, f->seq,
+		    failure_make(VERDICT_RAN, REASON_ANSWER_GONE), 0, out);
+}
+
+void
+serve_handover(struct node *n, struct msg *msg, struct instant now)
+{
+	struct handover *h = &msg->u.handover;
+	struct group *g = membership_find(n, h->service);
+	struct member *m = g != NULL ? group_find(g, msg->peer) : NULL;
+
+	if (m == NULL)
+		return;
+	if (h->last) {
+		m->handed = true;
+		return;
+	}
+	ledger_adopt(n->ledger, h->org, h->id, &h->reply, h->kept, now);
+}
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -4,6 +4,8 @@
  * entry.c	calls of callers: key, rate, answer
  * attempt.c	their tries: choice of target, retries, fates
  * serve.c	calls at the target's daemon: ledger, queue, limit, reply
+ * fate.c	what became of a try, and ledgers of those that leave
+ * announced.c	what the local target says of itself
  * membership.c	groups: heartbeats, rows, joining and leaving
  * fence.c	members that are gone for good
  * leave.c	the hand-over of a member that leaves
@@ -212,6 +214,11 @@
 void serve_ask_fate(
     struct node *, struct msg *, struct instant, struct msg_list *);
 void serve_handover(struct node *, struct msg *, struct instant);
+/* Between serve.c and fate.c: the two kinds of reply. */
+void serve_send_failure(struct node *, struct addr to, uint64_t seq,
+    struct failure, uint32_t allowance, struct msg_list *);
+void serve_send_copy(struct node *, struct addr to, uint64_t seq,
+    const struct reply *, struct msg_list *);
 /* The target leaves: what waits for it has not run and never will. */
 void serve_refuse_waiting(
     struct node *, enum reason, struct instant, struct msg_list *);
@@ -250,7 +257,10 @@
 void membership_tick(struct node *, struct instant, struct msg_list *);
 void membership_destroy(struct node *);
 
-/* Between membership.c, fence.c and leave.c. */
+/* announced.c */
+void announced_tick(struct node *, struct instant, struct msg_list *);
+
+/* Between membership.c, announced.c, fence.c and leave.c. */
 void membership_join(
     struct node *, struct group *, struct instant, struct msg_list *);
 void membership_broadcast(
--- a/core/serve.c
+++ b/core/serve.c
@@ -110,9 +110,9 @@
 	r->pressure = n->target.told_pressure;
 }
 
-static void
-send_failure(struct node *n, struct addr to, uint64_t seq, struct failure f,
-    uint32_t allowance, struct msg_list *out)
+void
+serve_send_failure(struct node *n, struct addr to, uint64_t seq,
+    struct failure f, uint32_t allowance, struct msg_list *out)
 {
 	struct msg *m = msg_emit(out, MSG_REPLY, to, seq);
 
@@ -121,8 +121,8 @@
 	add_hints(n, &m->u.reply);
 }
 
-static void
-send_copy(struct node *n, struct addr to, uint64_t seq,
+void
+serve_send_copy(struct node *n, struct addr to, uint64_t seq,
     const struct reply *reply, struct msg_list *out)
 {
 	struct msg *m = msg_emit(out, MSG_REPLY, to, seq);
@@ -162,7 +162,7 @@
 	struct ledger_waiter *w;
 
 	while ((w = LIST_FIRST(&rec->waiters)) != NULL) {
-		send_copy(n, w->entry_daemon, w->seq, reply, out);
+		serve_send_copy(n, w->entry_daemon, w->seq, reply, out);
 		LIST_REMOVE(w, entry);
 		free(w);
 	}
@@ -183,7 +183,7 @@
 		reply_waiters(n, j->record, &reply, out);
 		ledger_forget(n->ledger, j->record);
 	}
-	send_failure(n, j->from, j->from_seq, f, j->allowance, out);
+	serve_send_failure(n, j->from, j->from_seq, f, j->allowance, out);
 	job_free(n, j);
 }
 
@@ -246,7 +246,8 @@
 	case LEDGER_STATE_RAN:
 		n->counters.values[COUNT_LEDGER_REPLAYS]++;
 		if (rec->kept) {
-			send_copy(n, msg->peer, msg->seq, &rec->reply, out);
+			serve_send_copy(
+			    n, msg->peer, msg->seq, &rec->reply, out);
 			return true;
 		}
 		failure = failure_make(VERDICT_RAN, REASON_ANSWER_GONE);
@@ -259,7 +260,7 @@
 		return false;
 	}
 	note_decision(n, f, msg->peer, failure, now);
-	send_failure(
+	serve_send_failure(
 	    n, msg->peer, msg->seq, failure, f->context.allowance, out);
 	return true;
 }
@@ -434,7 +435,7 @@
 		return;
 	if (!admit(n, msg, now, &rec, &failure)) {
 		note_decision(n, f, msg->peer, failure, now);
-		send_failure(
+		serve_send_failure(
 		    n, msg->peer, msg->seq, failure, f->context.allowance, out);
 		return;
 	}
@@ -531,66 +532,6 @@
 		msg_emit(out, MSG_RUN_CANCEL, n->setup.self, j->seq);
 }
 
-/* Calendars go back: an incarnation is ours only if we had that very one. */
-static bool
-was_ours(const struct node *n, uint64_t incarnation)
-{
-	int i;
-
-	for (i = 0; i < MAX_JOINS; i++) {
-		if (incarnation != 0 && n->joined[i] == incarnation)
-			return true;
-	}
-	return false;
-}
-
-void
-serve_ask_fate(
-    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
-{
-	struct fate *f = &msg->u.fate;
-	struct ledger_record *rec;
-	enum fate_state state;
-	struct msg *m;
-
-	/* An earlier life of this daemon took its ledger along. */
-	if (!was_ours(n, f->incarnation))
-		state = FATE_DOUBT;
-	else
-		state = n->setup.guard->ask(
-		    n->ledger, f->org, f->id, msg->peer, f->seq, now, &rec);
-	if (state == FATE_TOMBSTONE)
-		n->counters.values[COUNT_TOMBSTONES]++;
-	m = msg_emit(out, MSG_FATE, msg->peer, msg->seq);
-	m->u.fate = *f;
-	m->u.fate.state = state;
-	if (state == FATE_RUNNING)
-		ledger_wait(rec, msg->peer, f->seq);
-	if (state != FATE_RAN)
-		return;
-	if (rec->kept)
-		send_copy(n, msg->peer, f->seq, &rec->reply, out);
-	else
-		send_failure(n, msg->peer, f->seq,
-		    failure_make(VERDICT_RAN, REASON_ANSWER_GONE), 0, out);
-}
-
-void
-serve_handover(struct node *n, struct msg *msg, struct instant now)
-{
-	struct handover *h = &msg->u.handover;
-	struct group *g = membership_find(n, h->service);
-	struct member *m = g != NULL ? group_find(g, msg->peer) : NULL;
-
-	if (m == NULL)
-		return;
-	if (h->last) {
-		m->handed = true;
-		return;
-	}
-	ledger_adopt(n->ledger, h->org, h->id, &h->reply, h->kept, now);
-}
-
 void
 serve_refuse_waiting(struct node *n, enum reason reason, struct instant now,
     struct msg_list *out)
--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -41,8 +41,9 @@
 		return;
 	name_copy(s->state, state, sizeof(s->state));
 	log_line(LOG_NOTICE, "target-announced",
-	    "state=%s id=%s born_ms=%" PRIu64 " seq=%" PRIu64 " slots=%" PRIu32,
-	    state, a->id, a->born_ms, a->seq, a->slots);
+	    "state=%s id=%s born_ms=%" PRIu64 " seq=%" PRIu64 " slots=%" PRIu32
+	    " warmup_ms=%" PRIu64,
+	    state, a->id, a->born_ms, a->seq, a->slots, a->warmup_ms);
 }
 
 static void
