--- a/t/t0003-operators.sh
+++ b/t/t0003-operators.sh
@@ -115,4 +115,19 @@
 	cat "$DIR/thawed"
 	fail "after the freeze"
 }
+# SIGHUP reads the settings again; a file with an error leaves the old ones.
+kill -HUP "$DAEMON_PID_4"
+sleep 1
+echo "nonsense = 1" >>"$DIR/daemon4.ini"
+kill -HUP "$DAEMON_PID_4"
+sleep 1
+grep -q 'event=reloaded' "$DIR/daemon4.err" || fail "SIGHUP was not taken"
+grep -q 'event=reload-failed.*nonsense' "$DIR/daemon4.err" ||
+	fail "a bad file was not refused"
+"$B/standin-caller" --ports "$(port 4 1)" --key key-brno \
+	--path /records/1 --rate 50 --ms 1000 >"$DIR/reloaded"
+grep -q '^whole 50$' "$DIR/reloaded" || {
+	cat "$DIR/reloaded"
+	fail "after SIGHUP"
+}
 echo ok
--- a/t/test-attempt.cc
+++ b/t/test-attempt.cc
@@ -38,7 +38,8 @@
 		s.guard = &guard_attempt;
 		s.parser = &catalog_parser_platform;
 		s.max_calls = s.max_queue = s.max_ids = 100;
-		s.default_deadline_us = s.max_deadline_us = SEC_US;
+		s.default_deadline_us = s.max_deadline_us = 60 * SEC_US;
+		s.grace_us = 6 * SEC_US;
 		node = node_create(&s);
 		configure();
 		call(1);
@@ -101,6 +102,33 @@
 		m->calls_told = told;
 		node_handle(node, m, now, &out);
 	}
+	void
+	drain()
+	{
+		struct msg *m = msg_create(MSG_OPS);
+
+		m->u.ops.verb = OPS_DRAIN;
+		node_handle(node, m, now, &out);
+	}
+	void
+	pass(uint64_t us)
+	{
+		now.mono_us += us;
+		now.wall_ms += us / MSEC_US;
+		node_tick(node, now, &out);
+	}
+	struct failure
+	last_failure()
+	{
+		struct failure f = {VERDICT_RAN, REASON_NONE};
+		struct msg *m;
+
+		TAILQ_FOREACH (m, &out, entry) {
+			if (m->kind == MSG_ANSWER)
+				f = m->u.reply.failure;
+		}
+		return f;
+	}
 	/* The numbers of the messages of a kind that are to be sent. */
 	std::vector<uint64_t>
 	sent(enum msg_kind kind)
@@ -153,3 +181,31 @@
 	EXPECT_TRUE(sent(MSG_ANSWER).empty());
 	EXPECT_EQ(sent(MSG_ASK_FATE), sent(MSG_FORWARD));
 }
+
+/*
+ * Found by mix 736174069348 of srf-mesh: calls were taken five seconds after
+ * the order to leave, and cut when the process was killed.
+ */
+TEST_F(Attempt, ALeavingDaemonTakesCallsForHalfOfItsGrace)
+{
+	drain();
+	pass(2900 * MSEC_US);
+	call(2);
+	EXPECT_EQ(sent(MSG_FORWARD).size(), 2u);
+	pass(200 * MSEC_US);
+	call(3);
+	EXPECT_EQ(sent(MSG_FORWARD).size(), 2u);
+	EXPECT_EQ(last_failure().reason, REASON_LEAVING);
+	EXPECT_EQ(last_failure().verdict, VERDICT_NOT_RUN);
+}
+
+TEST_F(Attempt, ALeavingDaemonAnswersAllBeforeItsGraceEnds)
+{
+	drain();
+	pass(5 * SEC_US);
+	EXPECT_FALSE(node_is_drained(node));
+	EXPECT_TRUE(sent(MSG_ANSWER).empty());
+	pass(500 * MSEC_US);
+	EXPECT_EQ(last_failure().verdict, VERDICT_MAY_HAVE_RUN);
+	EXPECT_TRUE(node_is_drained(node));
+}
