node: begin message numbers at a random place

What callers saw: after a daemon was killed and started again, answers and refusals of calls of its earlier process reached the callers of new calls: a 200 with another request's signature and body, or 503 "not run" for a request that was running.

Cause: each process numbered its messages from 1. Peers answer to the daemon's address and the number of the try, and both were the same in the next process while a target still worked for the earlier one. A cancel, too, met the earlier process's call instead of its own.

Evidence: the reply was matched by entry_handle_reply() with a number that the new process had given to another call; in test-node the body names the call of the earlier process.

Change: numbers begin anywhere in a range of 2^62, so no two processes at an address share one. This covers replies, refusals, answers to MSG_ASK_FATE, cancels and tombstones, without a new field on the wire: peers of an earlier version return the number as it is. Replies with a number of an earlier process are counted and logged.

Ruled out as further paths: grants of shares (charged per process), members and configuration (merged by version), rows (asked and answered within a process).

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -350,6 +350,8 @@
 
 	want.try_seq = msg->seq;
 	c = RB_FIND(entry_by_try_seq, &n->tries, &want);
+	if (!node_sent_seq(n, msg->seq))
+		n->counters.values[COUNT_REPLIES_TO_EARLIER_PROCESS]++;
 	if (c == NULL || !addr_equal(c->target, msg->peer))
 		return;
 	update_member(n, c, r, now);
--- a/core/counters.c
+++ b/core/counters.c
@@ -8,6 +8,7 @@
     [COUNT_WHOLE_ANSWERS] = "whole_answers",
     [COUNT_TRIES] = "tries",
     [COUNT_RETRIES] = "retries",
+    [COUNT_REPLIES_TO_EARLIER_PROCESS] = "replies_to_earlier_process",
     [COUNT_JOBS_STARTED] = "jobs_started",
     [COUNT_JOBS_DONE] = "jobs_done",
     [COUNT_JOBS_CANCELLED] = "jobs_cancelled",
--- a/core/counters.h
+++ b/core/counters.h
@@ -19,6 +19,8 @@
 	COUNT_WHOLE_ANSWERS, /* calls answered completely */
 	COUNT_TRIES, /* sent to a target's daemon */
 	COUNT_RETRIES, /* tries after a back-off */
+	/* Replies ignored because an earlier process at our address asked. */
+	COUNT_REPLIES_TO_EARLIER_PROCESS,
 	/* At the target's daemon: */
 	COUNT_JOBS_STARTED, /* handed to the local target */
 	COUNT_JOBS_DONE, /* finished by it, with or without an answer */
--- a/core/node.c
+++ b/core/node.c
@@ -14,6 +14,11 @@
 #define SLOW_TICK_INTERVAL_US (100 * MSEC_US)
 #define STATUS_MAX_BYTES 65536 /* of the state report, with its NUL */
 #define MEMBER_LINE_MAX_BYTES 512 /* of one member in that report */
+/*
+ * The highest first number of a message; the rest of the range is more than a
+ * process can use up, and PROBE_SEQ_FLAG stays free.
+ */
+#define FIRST_SEQ_MAX (UINT64_MAX >> 2)
 /* A draining daemon refuses new calls after 1/2 of its grace period. */
 #define DRAIN_CLOSE_GRACE_DIVISOR 2
 /* After this part of the period it fails the calls still in progress. */
@@ -30,6 +35,13 @@
 		n->seeds[i] = setup->seeds[i];
 	n->setup.nseeds = i;
 	n->rng = setup->seed;
+	/*
+	 * Peers answer to this daemon's address, which outlives the process.
+	 * Numbers that begin anywhere in a range of 2^62 are not those of an
+	 * earlier process, so that what is meant for it matches nothing here.
+	 */
+	n->first_seq = hash_mix(setup->seed) & FIRST_SEQ_MAX;
+	n->next_seq = n->first_seq;
 	confstate_init(&n->conf, setup->parser);
 	n->quota = quota_create(&quota_policy_host);
 	tree_init(&n->tree);
@@ -81,6 +93,12 @@
 	return ++n->next_seq;
 }
 
+bool
+node_sent_seq(const struct node *n, uint64_t seq)
+{
+	return seq > n->first_seq && seq <= n->next_seq;
+}
+
 struct row *
 node_read_row(
     struct node *n, const char *key, bool prefix, struct msg_list *out)
--- a/core/node.h
+++ b/core/node.h
@@ -47,7 +47,11 @@
 	/* The host's service, sent on as its calls' caller; empty: none. */
 	char service[NAME_LEN];
 	uint64_t incarnation; /* wall time of the daemon's start, in ms */
-	uint64_t seed; /* of the random number generator */
+	/*
+	 * Of the random number generator, and of the numbers of messages; not
+	 * one that an earlier process at this address had.
+	 */
+	uint64_t seed;
 	const struct balancer *balancer;
 	const struct limiter *limiter;
 	const struct shedder *shedder; /* NULL: by the configuration's policy */
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -201,6 +201,7 @@
 	/* Of the call trees that begin here. */
 	struct importance_mix importance_mix;
 	uint64_t rng; /* state of the random number generator */
+	uint64_t first_seq; /* node_next_seq() gives out the numbers after it */
 	uint64_t next_seq; /* last number that node_next_seq() gave out */
 	uint64_t last_tick_us;
 	uint64_t last_slow_tick_us; /* the last slow tick; 0: none yet */
@@ -435,8 +436,16 @@
 void operator_tick(struct node *, struct instant, struct msg_list *);
 
 /* node.c */
-/* A number that no other message or job of this node has. */
+/*
+ * A number that no other message or job has, of this process or of an earlier
+ * one at its address.
+ */
 uint64_t node_next_seq(struct node *);
+/*
+ * Whether this process gave out the number.  A peer's answer with another one
+ * is meant for an earlier process at this address.
+ */
+bool node_sent_seq(const struct node *, uint64_t seq);
 /*
  * Ask the platform for a row, or for all rows that begin with the key.
  * Returns the request, which the list owns.
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -37,6 +37,8 @@
 	uint64_t ignored_logged_s; /* monotonic second; ignored announcement */
 	uint64_t odd_rows_logged; /* ignored rows, as last logged */
 	uint64_t odd_rows_logged_s; /* monotonic second of that */
+	uint64_t stray_replies_logged; /* to an earlier process; as logged */
+	uint64_t stray_replies_logged_s; /* monotonic second of that */
 	bool draining; /* the front task was sent MSG_DRAIN */
 	bool closed; /* the front task was sent MSG_CLOSE */
 };
@@ -260,6 +262,26 @@
 	s->odd_rows_logged_s = current_s;
 }
 
+/*
+ * Log, at most once a second, that replies to calls of an earlier process at
+ * this address were ignored.
+ */
+static void
+log_stray_replies(struct decide_task *s)
+{
+	uint64_t count =
+	    node_counters(s->node)->values[COUNT_REPLIES_TO_EARLIER_PROCESS];
+	uint64_t current_s = daemon_now().mono_us / SEC_US;
+
+	if (count == s->stray_replies_logged ||
+	    current_s == s->stray_replies_logged_s)
+		return;
+	log_line(LOG_NOTICE, "replies-ignored",
+	    "cause=earlier-process count=%" PRIu64, count);
+	s->stray_replies_logged = count;
+	s->stray_replies_logged_s = current_s;
+}
+
 /* Update what other tasks see of the node, and log what changed. */
 static void
 publish_state(struct decide_task *s)
@@ -299,6 +321,7 @@
 	send_all(s, &out);
 	log_decisions(s);
 	log_odd_rows(s);
+	log_stray_replies(s);
 	publish_state(s);
 	exit_if_drained(s, now);
 	arm_timer(s);
