quota: ignore a grant asked for before the clock began anew

A grant names the time, on the asker's clock, from which it lasts. If the host was switched off and on and an answer to its earlier process arrives, that time lies in the future of the new clock, and the share would outlive the charge that the parent holds for it: a rate granted twice. Not seen by callers; found by reading.

Change: such a grant is ignored. The child asks again at once.

--- a/core/quota.c
+++ b/core/quota.c
@@ -404,7 +404,11 @@
 	struct bucket *b;
 	int i;
 
-	if (q->is_root)
+	/*
+	 * A request from the future was made by an earlier process, before the
+	 * host and its clock started anew: its end cannot be told here.
+	 */
+	if (q->is_root || grant->sent_us > now.mono_us)
 		return;
 	for (i = 0; i < grant->count; i++) {
 		item = &grant->items[i];
--- a/t/test-quota.cc
+++ b/t/test-quota.cc
@@ -579,3 +579,29 @@
 	EXPECT_LT(f.wrongful_refusals, f.calls * 0.01);
 	EXPECT_LE(f.max_excess(), 1e-6);
 }
+
+/*
+ * Guards against a share that outlives its parent's charge: the host was
+ * switched off and on, so its clock begins anew, and a grant arrives for which
+ * its earlier process had asked.
+ */
+TEST(Quota, GrantAskedForBeforeTheHostsClockBeganAnewIsIgnored)
+{
+	struct quota *q = quota_create(&quota_policy_host);
+	struct instant now = {5 * SEC_US, 1700000000000};
+	struct share grant = {};
+
+	grant.sent_us = 1000 * SEC_US;
+	grant.ttl_us = QUOTA_SHARE_TTL_US;
+	grant.count = 1;
+	name_copy(grant.items[0].org, "brno", NAME_LEN);
+	grant.items[0].rate = 10;
+	grant.items[0].burst = 10;
+	grant.items[0].tokens = 5;
+	grant.items[0].grant_number = 7;
+	quota_apply_grant(q, &grant, now);
+	now.mono_us += QUOTA_SHARE_TTL_US + QUOTA_CHARGE_MARGIN_US;
+	quota_tick(q, now);
+	EXPECT_EQ(quota_take(q, "brno", now), QUOTA_NO_TOKEN);
+	quota_destroy(q);
+}
