target: do not reuse a connection that brought a refusal

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection; clients are told "not run" for requests that run, or such a request runs twice.

Cause: http_client matches a response to its request by the id that the platform's targets return. Responses of our own interface bear none, so on a kept connection the copy answered the next request. On the platform's interface it cannot: the copy's id is that of the earlier request, and a call goes to each target once.

Change: a dialect says whether a connection may carry another request after a response; the native one says no after a refusal.

Tests: Client.TheOwnerMayEndTheConnectionOfAResponse failed before (the second request went over the first one's connection). Client.AnEarlierRefusalDoesNotAnswerTheNextRequest, with the platform's ids, passed at once; it shows that this interface is not affected.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -54,6 +54,11 @@
 	 */
 	bool (*is_response_to)(
 	    const char *id, const struct http_message *, bool new_connection);
+	/*
+	 * Whether the connection may carry another request after this response
+	 * from the target.
+	 */
+	bool (*may_keep_connection)(const struct http_message *);
 	/*
 	 * Parse a target's response into a zeroed reply, which is a failure if
 	 * the target refused the request or the message cannot be trusted.
--- a/daemon/dialect_native.c
+++ b/daemon/dialect_native.c
@@ -179,6 +179,26 @@
 	return true;
 }
 
+/* Whether the target says that it did not run the request. */
+static bool
+is_refusal(const struct http_message *m)
+{
+	const char *verdict = http_message_field(m, HEADER_VERDICT);
+
+	return verdict != NULL &&
+	       strcmp(verdict, verdict_name(VERDICT_NOT_RUN)) == 0;
+}
+
+/*
+ * Responses bear no id here.  A refusal that a faulty target sends once more
+ * would tell the next caller that a request did not run that runs.
+ */
+static bool
+may_keep_connection(const struct http_message *m)
+{
+	return !is_refusal(m);
+}
+
 /*
  * The request counts as not run only if the response says so, which a target
  * does when it sheds the request.
@@ -186,10 +206,7 @@
 static void
 read_response(const struct http_message *m, struct reply *r)
 {
-	const char *verdict = http_message_field(m, HEADER_VERDICT);
-
-	if (verdict != NULL &&
-	    strcmp(verdict, verdict_name(VERDICT_NOT_RUN)) == 0) {
+	if (is_refusal(m)) {
 		reply_fail(r, failure_make(VERDICT_NOT_RUN, REASON_SHED));
 		return;
 	}
@@ -211,5 +228,6 @@
     .write_response_headers = write_response_headers,
     .write_target_headers = write_target_headers,
     .is_response_to = is_response_to,
+    .may_keep_connection = may_keep_connection,
     .read_response = read_response,
 };
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -27,6 +27,7 @@
 	void (*done)(void *arg, const struct http_result *);
 	bool (*is_response)(
 	    void *arg, const struct http_message *, bool new_connection);
+	bool (*keeps_connection)(void *arg, const struct http_message *);
 	void *arg;
 	struct event timer;
 };
@@ -149,7 +150,9 @@
 	http_message_move(&msg, &c->reader.msg);
 	lifetime_us = idle_lifetime_us(c, &msg);
 	if (c->not_reusable || !msg.keep_alive || lifetime_us == 0 ||
-	    stream_bytes_pending(c->stream) > 0)
+	    stream_bytes_pending(c->stream) > 0 ||
+	    (call->keeps_connection != NULL &&
+		!call->keeps_connection(call->arg, &msg)))
 		conn_free(c);
 	else
 		conn_keep_idle(c, lifetime_us);
@@ -338,6 +341,7 @@
 	call->conn = c;
 	call->done = done;
 	call->is_response = r->is_response;
+	call->keeps_connection = r->keeps_connection;
 	call->arg = arg;
 	evtimer_assign(&call->timer, cl->base, on_timeout, call);
 	evtimer_add(&call->timer, &tv);
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -51,6 +51,12 @@
 	 */
 	bool (*is_response)(
 	    void *arg, const struct http_message *, bool new_connection);
+	/*
+	 * Whether the connection may be reused after this response; NULL: it
+	 * may.  False where a late copy of it could not be told from the
+	 * response to the next request.
+	 */
+	bool (*keeps_connection)(void *arg, const struct http_message *);
 };
 
 enum http_outcome {
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -95,6 +95,14 @@
 	    r->id, m, new_connection);
 }
 
+static bool
+keeps_connection(void *arg, const struct http_message *m)
+{
+	struct target_request *r = arg;
+
+	return r->target->daemon->dialect->may_keep_connection(m);
+}
+
 static void
 start_request(struct target_task *t, struct msg *m)
 {
@@ -123,6 +131,7 @@
 	req.body_len = f->request.body.len;
 	req.timeout_us = f->context.deadline_ms * MSEC_US;
 	req.is_response = is_response;
+	req.keeps_connection = keeps_connection;
 	r->call = http_client_send(t->http, &req, on_done, r);
 	evbuffer_free(headers);
 	if (r->call != NULL)
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -335,6 +335,12 @@
 		return id != nullptr ? static_cast<Client *>(arg)->id == id
 				     : new_connection;
 	}
+	static bool
+	keeps_connection(void *arg, const struct http_message *m)
+	{
+		(void)m;
+		return static_cast<Client *>(arg)->keeps_next;
+	}
 	struct http_call *
 	send(const std::string &request_id,
 	    const std::string &request_body = "",
@@ -352,6 +358,7 @@
 		r.body_len = request_body.size();
 		r.timeout_us = timeout_us;
 		r.is_response = is_response;
+		r.keeps_connection = keeps_connection;
 		return http_client_send(client, &r, on_result, this);
 	}
 	/* Wait for the next connection from the client, and accept it. */
@@ -388,6 +395,7 @@
 	struct http_client *client;
 	std::string id, body;
 	int result_count = 0;
+	bool keeps_next = true;
 	enum http_outcome outcome;
 	bool may_have_sent = false;
 };
@@ -598,6 +606,52 @@
 	EXPECT_TRUE(opens_connection());
 }
 
+/*
+ * Guards against an earlier refusal that a faulty target writes once more on a
+ * kept connection: the next caller would be told "not run" while its request
+ * runs.  The refusal bears the id of its own request, or none.
+ */
+TEST_F(Client, AnEarlierRefusalDoesNotAnswerTheNextRequest)
+{
+	const std::string status = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n",
+			  rest = "Content-Length: 4\r\n\r\nfull";
+
+	for (const std::string &copy :
+	    {status + "Request-Id: 1\r\n" + rest, status + rest}) {
+		int fd;
+
+		send("1");
+		fd = accept_connection();
+		receive(fd, "\r\n\r\n");
+		send_text(fd, status + "Request-Id: 1\r\n" + rest);
+		ASSERT_TRUE(await_result());
+		send("2");
+		receive(fd, "\r\n\r\n");
+		send_text(fd, copy);
+		run_ms(20);
+		EXPECT_EQ(result_count, 0);
+		send_text(fd, response_with_id("2", "two"));
+		ASSERT_TRUE(await_result());
+		EXPECT_EQ(body, "two");
+	}
+}
+
+/* Where answers bear no id, the owner says which end their connection. */
+TEST_F(Client, TheOwnerMayEndTheConnectionOfAResponse)
+{
+	int fd;
+
+	keeps_next = false;
+	send("1");
+	fd = accept_connection();
+	receive(fd, "\r\n\r\n");
+	send_text(fd, response_with_id("1", "one"));
+	ASSERT_TRUE(await_result());
+	EXPECT_EQ(receive(fd, ""), "");
+	send("2");
+	EXPECT_TRUE(opens_connection());
+}
+
 namespace {
 
 /* A peer that sends a text once and then another one without end. */
