test-http: cut a response at each of its bytes

Reported by other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Not found here: the parser is told of the end of a connection only while it reads a body that has no length, so a head that breaks off never becomes complete, and a frame between daemons is whole or not there.

Client.AResponseCutAtAnyByteIsBroken cuts responses with a length, with chunks and a trailer, and without a length (in the head) at each byte and closes in order.

--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -652,6 +652,39 @@
 	EXPECT_TRUE(opens_connection());
 }
 
+/*
+ * Guards against an answer that breaks off anywhere, also in its head, and is
+ * taken for complete, as if the rest had been an empty body.
+ */
+TEST_F(Client, AResponseCutAtAnyByteIsBroken)
+{
+	const std::string head =
+	    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\n";
+	const std::string responses[] = {
+	    head + "Content-Length: 3\r\n\r\none",
+	    head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n"
+		   "Trailer: x\r\n\r\n",
+	    /* Without a length only the head can be told to be cut. */
+	    head + "\r\n",
+	};
+	size_t cut;
+	int fd;
+
+	for (const std::string &response : responses) {
+		for (cut = 0; cut < response.size(); cut++) {
+			send("1");
+			fd = accept_connection();
+			receive(fd, "\r\n\r\n");
+			send_text(fd, response.substr(0, cut));
+			shutdown(fd, SHUT_WR);
+			ASSERT_TRUE(await_result());
+			EXPECT_EQ(outcome, HTTP_BROKEN)
+			    << response.substr(0, cut);
+			EXPECT_TRUE(may_have_sent);
+		}
+	}
+}
+
 namespace {
 
 /* A peer that sends a text once and then another one without end. */
