node: take no calls after 3 s of a long grace period

Reported by other operators: in a planned stop of one machine, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated.

Cause: a daemon that drains took calls for half of its grace period and gave up what was left at 88% of it. With a period of 10 s (6 s on the smaller deployments) a call of the fourth or fifth second had under 6 s, less than the deadlines there, and callers excuse a cut only for calls of the first three seconds.

Change: calls are taken for half of the period, at most for 3 s; later ones are refused as not run and can go to another daemon.

Test: Attempt.DrainingDaemonTakesNoCallsAfterThreeSecondsOfALongGracePeriod failed before (the call of 3.1 s was passed on).

--- a/core/node.c
+++ b/core/node.c
@@ -19,8 +19,13 @@
  * process can use up, and PROBE_SEQ_FLAG stays free.
  */
 #define FIRST_SEQ_MAX (UINT64_MAX >> 2)
-/* A draining daemon refuses new calls after 1/2 of its grace period. */
+/*
+ * A draining daemon refuses new calls after 1/2 of its grace period, at the
+ * latest after this time: callers accept that a call is cut at the end of the
+ * period only if it began in the first three seconds of the stop.
+ */
 #define DRAIN_CLOSE_GRACE_DIVISOR 2
+#define DRAIN_CLOSE_MAX_US (3 * SEC_US)
 /* After this part of the period it fails the calls still in progress. */
 #define DRAIN_CALLS_GRACE_PERCENT 88
 
@@ -402,9 +407,12 @@
 bool
 node_refuses_calls(const struct node *n, struct instant now)
 {
+	uint64_t close_us = n->setup.grace_us / DRAIN_CLOSE_GRACE_DIVISOR;
+
+	if (close_us > DRAIN_CLOSE_MAX_US)
+		close_us = DRAIN_CLOSE_MAX_US;
 	return n->draining && n->setup.grace_us != 0 &&
-	       now.mono_us - n->drain_start_us >
-		   n->setup.grace_us / DRAIN_CLOSE_GRACE_DIVISOR;
+	       now.mono_us - n->drain_start_us > close_us;
 }
 
 bool
--- a/t/test-attempt.cc
+++ b/t/test-attempt.cc
@@ -26,8 +26,6 @@
 	void
 	SetUp() override
 	{
-		struct node_setup s = {};
-
 		s.self = SELF;
 		name_copy(s.dc, "z", sizeof(s.dc));
 		s.incarnation = now.wall_ms;
@@ -145,6 +143,7 @@
 	}
 
 	struct node *node;
+	struct node_setup s = {};
 	struct instant now = {1000 * SEC_US, 1700000000000};
 	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
 };
@@ -200,6 +199,31 @@
 	EXPECT_EQ(last_failure().verdict, VERDICT_NOT_RUN);
 }
 
+/*
+ * Guards against calls that are taken late in a long grace period, passed on,
+ * and cut at its end while their target still works on them: the callers of a
+ * planned stop accept that only for calls of its first three seconds.
+ */
+TEST_F(Attempt, DrainingDaemonTakesNoCallsAfterThreeSecondsOfALongGracePeriod)
+{
+	s.grace_us = 10 * SEC_US;
+	node_update_settings(node, &s);
+	drain();
+	advance(2900 * MSEC_US);
+	call(2);
+	EXPECT_EQ(seqs_sent(MSG_FORWARD).size(), 2u);
+	EXPECT_FALSE(node_refuses_calls(node, now));
+	advance(200 * MSEC_US);
+	call(3);
+	EXPECT_EQ(seqs_sent(MSG_FORWARD).size(), 2u);
+	EXPECT_EQ(last_failure().reason, REASON_LEAVING);
+	EXPECT_EQ(last_failure().verdict, VERDICT_NOT_RUN);
+	/* What it took has the whole of the period to end. */
+	advance(5 * SEC_US);
+	EXPECT_EQ(seqs_sent(MSG_ANSWER).size(), 1u);
+	EXPECT_FALSE(node_is_drained(node));
+}
+
 TEST_F(Attempt, DrainingDaemonAnswersAllCallsBeforeItsGracePeriodEnds)
 {
 	drain();
