stream: report a reset that a write has found

The server had answered early and without a length, while the rest of a long request was still to be sent, and reset the connection.

Cause: the socket reports its error once. With output waiting, the write event may run before the read event; write() then got the reset, write_output() shut the socket down, and the read that followed returned 0, an orderly end, which completes a response without a length.

Change: the stream remembers that a write failed; the end is reported as a reset.

Client.AResetWhileTheRequestIsSentCompletesNoResponse failed before (the response counted as received) and passes now.

--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -24,6 +24,7 @@
 	bool connecting;
 	bool write_armed; /* write_ev is pending */
 	bool shutdown_pending; /* close for writing once the output is sent */
+	bool failed; /* a write found the connection broken */
 	struct event read_ev;
 	struct event write_ev;
 	struct event flush_ev;
@@ -58,7 +59,9 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	event_del(&st->read_ev);
-	st->ops->closed(st->owner, n == 0 ? STREAM_EOF : STREAM_RESET);
+	/* The socket tells of an error once, and write_output() may get it. */
+	st->ops->closed(
+	    st->owner, n == 0 && !st->failed ? STREAM_EOF : STREAM_RESET);
 }
 
 static void
@@ -90,6 +93,7 @@
 	}
 	if (evbuffer_get_length(st->out) > 0) {
 		if (errno != EAGAIN && errno != EINTR) {
+			st->failed = true;
 			evbuffer_drain(st->out, evbuffer_get_length(st->out));
 			shutdown(st->fd, SHUT_RDWR);
 			set_write_event(st, false);
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -530,6 +530,32 @@
 	EXPECT_TRUE(may_have_sent);
 }
 
+/*
+ * Guards against a response without a length that is reset midway and counts
+ * as complete (review/2): the rest of the request waits to be sent, so that it
+ * is a write, not a read, that finds the reset.
+ */
+TEST_F(Client, AResetWhileTheRequestIsSentCompletesNoResponse)
+{
+	int fd, small = 4096;
+
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send("1");
+	fd = accept_connection();
+	receive(fd, "\r\n\r\n");
+	send_text(fd, response_with_id("1", "one"));
+	ASSERT_TRUE(await_result());
+	send("1", std::string(8 << 20, 'x'));
+	run_ms(20);
+	send_text(fd, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nhalf of");
+	run_ms(20);
+	EXPECT_EQ(result_count, 0);
+	close_socket(fd, true);
+	ASSERT_TRUE(await_result());
+	EXPECT_EQ(outcome, HTTP_BROKEN);
+	EXPECT_TRUE(may_have_sent);
+}
+
 TEST_F(Client, MalformedAndIncompleteResponsesAreBroken)
 {
 	const std::string bad[] = {"garbage\r\n\r\n",
