http_server: keep the connection of a caller that pauses

Cause: TCP_USER_TIMEOUT is 2 s on every connection, to notice peers that vanished. The system applies it also to a peer that acknowledges each probe and keeps its window closed. On the way to the same loss: the idle time-out counted from the last byte received, so a caller that read on steadily was cut as well.

Change: callers' connections have no such time-out. A connection that seems idle is closed only if the peer has acknowledged none of its output since it last seemed so.

Tests, both failed before: Server.ACallerThatPausesGetsItsWholeAnswer, Server.ACallerThatReadsSlowlyIsNotIdle.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -41,7 +41,9 @@
 	struct exchange_list exchanges;
 	unsigned int nexchanges;
 	struct buffer unparsed; /* received, but not parsed while paused */
-	uint64_t last_active_us; /* last byte received or response sent */
+	/* Last byte received, response sent, or progress of a slow reader. */
+	uint64_t last_active_us;
+	uint64_t bytes_acked; /* when the connection was last found idle */
 	uint64_t request_start_us; /* first byte of the request being read */
 	bool paused; /* not read until requests are answered */
 	bool ending; /* closes after its responses; reads no more requests */
@@ -326,17 +328,24 @@
 	http_reader_init(&c->reader, HTTP_READ_REQUEST, &s->settings.limits);
 	c->last_active_us = daemon_now().mono_us;
 	c->stream = stream_accept(s->base, fd, &stream_ops, c);
+	stream_allow_pauses(c->stream);
 	LIST_INSERT_HEAD(&s->conns, c, entry);
 	s->nconns++;
 }
 
+static bool
+has_too_much_output(const struct http_conn *c)
+{
+	return stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES;
+}
+
 /* Whether a timeout or the output limit of a connection is exceeded. */
 static bool
 must_close(const struct http_conn *c, uint64_t now_us)
 {
 	const struct http_server_settings *set = &c->server->settings;
 
-	if (stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES)
+	if (has_too_much_output(c))
 		return true;
 	if (c->ending && TAILQ_EMPTY(&c->exchanges) &&
 	    stream_bytes_pending(c->stream) == 0)
@@ -350,6 +359,24 @@
 	       now_us - c->last_active_us > set->idle_timeout_us;
 }
 
+/*
+ * Whether a peer that seems idle has read something of what was sent to it
+ * since it last seemed so.
+ */
+static bool
+has_read_on(struct http_conn *c, uint64_t now_us)
+{
+	uint64_t acked = stream_bytes_acked(c->stream);
+
+	if (acked == c->bytes_acked ||
+	    (acked == stream_bytes_sent(c->stream) &&
+		stream_bytes_pending(c->stream) == 0))
+		return false;
+	c->bytes_acked = acked;
+	c->last_active_us = now_us;
+	return true;
+}
+
 static void
 on_sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -360,7 +387,8 @@
 	(void)fd;
 	(void)what;
 	LIST_FOREACH_SAFE (c, &s->conns, entry, next) {
-		if (must_close(c, now_us))
+		if (must_close(c, now_us) &&
+		    (has_too_much_output(c) || !has_read_on(c, now_us)))
 			conn_free(c, true);
 	}
 }
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -2,10 +2,12 @@
 #include <errno.h>
 #include <event2/event_struct.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -35,13 +37,19 @@
 /* Shared by all streams, as the daemon has one event loop and one thread. */
 static char read_buffer[READ_BUFFER_BYTES];
 
+static void
+set_unacked_timeout(int fd, int ms)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static void
 set_socket_options(int fd)
 {
-	int on = 1, ms = UNACKED_TIMEOUT_MS;
+	int on = 1;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	set_unacked_timeout(fd, UNACKED_TIMEOUT_MS);
 }
 
 static void
@@ -263,6 +271,22 @@
 	return st->bytes_sent;
 }
 
+uint64_t
+stream_bytes_acked(const struct stream *st)
+{
+	int unacked = 0;
+
+	if (ioctl(st->fd, SIOCOUTQ, &unacked) != 0 || unacked < 0)
+		unacked = 0;
+	return st->bytes_sent - (uint64_t)unacked;
+}
+
+void
+stream_allow_pauses(struct stream *st)
+{
+	set_unacked_timeout(st->fd, 0); /* the system's default */
+}
+
 void
 stream_pause(struct stream *st, bool paused)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -69,6 +69,17 @@
 size_t stream_bytes_pending(struct stream *);
 /* Bytes that the kernel has taken since the stream was created. */
 uint64_t stream_bytes_sent(const struct stream *);
+/*
+ * Let the peer leave bytes unread for as long as the owner allows.  Without
+ * this a connection whose bytes are not acknowledged for 2 s is broken, also
+ * if the peer is there and its window is full.
+ */
+void stream_allow_pauses(struct stream *);
+/*
+ * Bytes that the peer has acknowledged since the stream was created, as far as
+ * the system tells.
+ */
+uint64_t stream_bytes_acked(const struct stream *);
 /* Stop or resume reading; no effect while the stream is connecting. */
 void stream_pause(struct stream *, bool paused);
 
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -285,6 +285,60 @@
 	EXPECT_NE(receive(fd, "").find("Connection: close"), std::string::npos);
 }
 
+/*
+ * Guards against an answer that is cut because its caller did not read for a
+ * while (review/4).  Only the idle time-out ends such a connection.
+ */
+TEST_F(Server, ACallerThatPausesGetsItsWholeAnswer)
+{
+	struct http_server_settings set = {
+	    {4096, 65536}, 10 * SEC_US, 10 * SEC_US, 100};
+	const std::string answer(4 << 20, 'x');
+	int fd = connect_to_server(), small = 65536;
+	size_t received = 0;
+	char buf[65536];
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	http_server_configure(server, &set);
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	respond(0, answer);
+	run_ms(3500);
+	EXPECT_EQ(http_server_connection_count(server), 1u);
+	run_until([&] {
+		ssize_t n;
+
+		while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+			received += (size_t)n;
+		return received > answer.size();
+	});
+	EXPECT_GT(received, answer.size());
+}
+
+/* A caller that reads on is not idle, however long its answer takes. */
+TEST_F(Server, ACallerThatReadsSlowlyIsNotIdle)
+{
+	const std::string answer(4 << 20, 'x');
+	int fd = connect_to_server(), small = 4096;
+	size_t received = 0;
+	char buf[16384];
+	int i;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	respond(0, answer);
+	/* The idle time-out is 600 ms. */
+	for (i = 0; i < 100; i++) {
+		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		received += n > 0 ? (size_t)n : 0;
+		run_ms(20);
+	}
+	EXPECT_EQ(http_server_connection_count(server), 1u);
+	EXPECT_LT(received, answer.size());
+}
+
 /* The client, with the tests as the target. */
 
 namespace {
