decide: end the process once its answers have arrived

Cause: exit_if_drained() waited for the node, which counts calls that are not answered, and then 300 ms. What the connections of the front task held was freed. The same holds for replies that links had not sent.

Change: once the node is drained, the front and link tasks are asked to report when their peers have acknowledged all output (MSG_FLUSH, MSG_FLUSHED); the process ends then, or after 95% of the grace period. While it waits it logs one line a second.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	  verdict window
 WIRE	= context frame_decode frame_encode httpmap link.pb-c
 CONFIG	= catalog_ini ini settings
-DAEMON	= announce decide dialect dialect_native front http_client \
+DAEMON	= announce decide dialect dialect_native flush front http_client \
 	  http_message http_server link log main operators platform probe \
 	  rows_native stream target task
 PLATFORM = announce dialect json_list manifest rows
--- a/core/msg.c
+++ b/core/msg.c
@@ -32,6 +32,8 @@
     [MSG_OPS_REPLY] = "ops-reply",
     [MSG_DRAIN] = "drain",
     [MSG_CLOSE] = "close",
+    [MSG_FLUSH] = "flush",
+    [MSG_FLUSHED] = "flushed",
     [MSG_RELOAD] = "reload",
     [MSG_LIMITS] = "limits",
 };
--- a/core/msg.h
+++ b/core/msg.h
@@ -66,6 +66,9 @@
 	/* To the front task: */
 	MSG_DRAIN, /* close each connection after its next answer */
 	MSG_CLOSE, /* accept no more requests */
+	/* Between the decide task and those that hold answers to send: */
+	MSG_FLUSH, /* report when all output has reached its peers */
+	MSG_FLUSHED, /* it has; with the seq of the MSG_FLUSH */
 	/* To the tasks that use settings: */
 	MSG_RELOAD, /* the settings were read again */
 	/* To the front task: */
--- a/core/node.c
+++ b/core/node.c
@@ -28,6 +28,8 @@
 #define DRAIN_CLOSE_MAX_US (3 * SEC_US)
 /* After this part of the period it fails the calls still in progress. */
 #define DRAIN_CALLS_GRACE_PERCENT 88
+/* After this part its process ends, whatever it still has to send. */
+#define DRAIN_EXIT_GRACE_PERCENT 95
 
 struct node *
 node_create(const struct node_setup *setup)
@@ -415,6 +417,14 @@
 	       now.mono_us - n->drain_start_us > close_us;
 }
 
+bool
+node_grace_is_over(const struct node *n, struct instant now)
+{
+	return n->draining && n->setup.grace_us != 0 &&
+	       now.mono_us - n->drain_start_us >
+		   n->setup.grace_us / 100 * DRAIN_EXIT_GRACE_PERCENT;
+}
+
 bool
 node_next_decision(
     const struct node *n, uint64_t *cursor, char *line, size_t len)
--- a/core/node.h
+++ b/core/node.h
@@ -119,6 +119,8 @@
 /* The version of the configuration in force; 0: none. */
 uint64_t node_config_version(const struct node *);
 bool node_is_draining(const struct node *);
+/* Whether a draining node's process has to end now, or be killed. */
+bool node_grace_is_over(const struct node *, struct instant now);
 /* Whether a draining node refuses all new calls of callers. */
 bool node_refuses_calls(const struct node *, struct instant now);
 /*
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -12,7 +12,7 @@
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 
-/* From drained to exit, so that the last responses leave the sockets. */
+/* From drained until the tasks are asked whether their output has left. */
 #define EXIT_DELAY_US (300 * MSEC_US)
 /* Log lines for failed calls; further ones are only counted. */
 #define MAX_FAILURE_LINES_PER_SECOND 40
@@ -41,6 +41,10 @@
 	uint64_t stray_replies_logged_s; /* monotonic second of that */
 	bool draining; /* the front task was sent MSG_DRAIN */
 	bool closed; /* the front task was sent MSG_CLOSE */
+	uint64_t flush_seq; /* of the last MSG_FLUSH */
+	bool flush_requested; /* since the node is drained */
+	unsigned int tasks_unflushed; /* that have not answered it */
+	uint64_t exit_wait_logged_s; /* monotonic second */
 };
 
 struct instant
@@ -193,6 +197,12 @@
 		msg_destroy(m);
 		return;
 	}
+	if (m->kind == MSG_FLUSHED) {
+		if (m->seq == s->flush_seq && s->tasks_unflushed > 0)
+			s->tasks_unflushed--;
+		msg_destroy(m);
+		return;
+	}
 	if (is_announce)
 		announce = m->u.announce;
 	node_handle(s->node, m, daemon_now(), &out);
@@ -222,16 +232,61 @@
 	log_line(LOG_NOTICE, "platform-requests", "%s", line);
 }
 
+/* Ask the tasks that hold answers to report when these have arrived. */
+static void
+request_flush(struct decide_task *s)
+{
+	struct task *const tasks[] = {s->daemon->front, s->daemon->link};
+	struct msg *m;
+	size_t i;
+
+	s->flush_seq++;
+	s->flush_requested = true;
+	s->tasks_unflushed = sizeof(tasks) / sizeof(tasks[0]);
+	for (i = 0; i < sizeof(tasks) / sizeof(tasks[0]); i++) {
+		m = msg_create(MSG_FLUSH);
+		m->seq = s->flush_seq;
+		task_send(tasks[i], m);
+	}
+}
+
+/*
+ * Whether the last answers have arrived, or must be given up because the grace
+ * period ends.
+ */
+static bool
+is_flushed(struct decide_task *s, struct instant now)
+{
+	uint64_t current_s = now.mono_us / SEC_US;
+
+	if (!s->flush_requested)
+		request_flush(s);
+	if (s->tasks_unflushed == 0)
+		return true;
+	if (node_grace_is_over(s->node, now)) {
+		log_line(
+		    LOG_WARNING, "exit-unsent", "tasks=%u", s->tasks_unflushed);
+		return true;
+	}
+	if (current_s != s->exit_wait_logged_s)
+		log_line(LOG_INFO, "exit-waits", "tasks=%u cause=unread-output",
+		    s->tasks_unflushed);
+	s->exit_wait_logged_s = current_s;
+	return false;
+}
+
 static void
 exit_if_drained(struct decide_task *s, struct instant now)
 {
 	if (!node_is_drained(s->node)) {
 		s->drained_since_us = 0;
+		s->flush_requested = false;
 		return;
 	}
 	if (s->drained_since_us == 0)
 		s->drained_since_us = now.mono_us;
-	if (now.mono_us - s->drained_since_us < EXIT_DELAY_US)
+	if (now.mono_us - s->drained_since_us < EXIT_DELAY_US ||
+	    !is_flushed(s, now))
 		return;
 	log_platform_requests(s->node);
 	log_line(LOG_NOTICE, "drained", "exit=1");
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -9,6 +9,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/dialect.h"
+#include "daemon/flush.h"
 #include "daemon/http_server.h"
 #include "daemon/log.h"
 
@@ -33,6 +34,7 @@
 	struct http_server *http;
 	/* As the settings give them, before apply_limits(). */
 	struct http_server_settings from_settings;
+	struct flush_watch *flush;
 	struct front_tree calls;
 	uint64_t next_seq;
 };
@@ -180,6 +182,14 @@
 	http_server_configure(f->http, &s);
 }
 
+static bool
+is_flushed(const void *owner)
+{
+	const struct front_task *f = owner;
+
+	return http_server_is_flushed(f->http);
+}
+
 static void
 receive(void *state, struct msg *m)
 {
@@ -195,6 +205,9 @@
 	case MSG_CLOSE:
 		http_server_stop_accepting(f->http);
 		break;
+	case MSG_FLUSH:
+		flush_watch_start(f->flush, m->seq);
+		break;
 	default:
 		finish_call(f, m);
 		break;
@@ -208,6 +221,7 @@
 	struct front_task *f = state;
 	struct front_call *fc;
 
+	flush_watch_destroy(f->flush);
 	http_server_destroy(f->http);
 	while ((fc = RB_ROOT(&f->calls)) != NULL)
 		front_call_free(fc);
@@ -236,5 +250,6 @@
 		free(f);
 		return NULL;
 	}
+	f->flush = flush_watch_create(d, is_flushed, f);
 	return task_create(d->base, "front", &ops, f);
 }
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -461,6 +461,19 @@
 	}
 }
 
+bool
+http_server_is_flushed(const struct http_server *s)
+{
+	const struct http_conn *c;
+
+	LIST_FOREACH (c, &s->conns, entry) {
+		if (!TAILQ_EMPTY(&c->exchanges) ||
+		    !stream_is_flushed(c->stream))
+			return false;
+	}
+	return true;
+}
+
 size_t
 http_server_connection_count(const struct http_server *s)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -75,6 +75,11 @@
  * continue.
  */
 void http_server_stop_accepting(struct http_server *);
+/*
+ * Whether the peers have received all output and no request waits for its
+ * response.
+ */
+bool http_server_is_flushed(const struct http_server *);
 /* The number of open connections. */
 size_t http_server_connection_count(const struct http_server *);
 
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "daemon/daemon.h"
+#include "daemon/flush.h"
 #include "daemon/log.h"
 #include "daemon/stream.h"
 #include "wire/frame.h"
@@ -71,6 +72,7 @@
 	struct link_list links;
 	struct listener *listener;
 	struct event *sweep;
+	struct flush_watch *flush;
 	uint64_t nlinks;
 };
 
@@ -526,12 +528,32 @@
 	msg_destroy(m);
 }
 
+/* Links that are not open carry no replies: those are dropped with them. */
+static bool
+is_flushed(const void *owner)
+{
+	const struct link_task *s = owner;
+	const struct link *l;
+
+	LIST_FOREACH (l, &s->links, entry) {
+		if (l->state == LINK_OPEN && !stream_is_flushed(l->stream))
+			return false;
+	}
+	return true;
+}
+
 static void
 receive(void *state, struct msg *m)
 {
 	struct link_task *s = state;
-	struct link *l = link_find(s, m->peer);
+	struct link *l;
 
+	if (m->kind == MSG_FLUSH) {
+		flush_watch_start(s->flush, m->seq);
+		msg_destroy(m);
+		return;
+	}
+	l = link_find(s, m->peer);
 	if (l == NULL)
 		l = link_connect(s, m->peer);
 	if (l == NULL) {
@@ -617,6 +639,7 @@
 		link_free(l);
 	listener_destroy(s->listener);
 	event_free(s->sweep);
+	flush_watch_destroy(s->flush);
 	free(s);
 }
 
@@ -645,5 +668,6 @@
 	}
 	s->sweep = event_new(d->base, -1, EV_PERSIST, on_sweep, s);
 	event_add(s->sweep, &tv);
+	s->flush = flush_watch_create(d, is_flushed, s);
 	return task_create(d->base, "link", &ops, s);
 }
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -281,6 +281,13 @@
 	return st->bytes_sent - (uint64_t)unacked;
 }
 
+bool
+stream_is_flushed(const struct stream *st)
+{
+	return evbuffer_get_length(st->out) == 0 &&
+	       stream_bytes_acked(st) == st->bytes_sent;
+}
+
 void
 stream_allow_pauses(struct stream *st)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -80,6 +80,8 @@
  * the system tells.
  */
 uint64_t stream_bytes_acked(const struct stream *);
+/* Whether the peer has acknowledged all output. */
+bool stream_is_flushed(const struct stream *);
 /* Stop or resume reading; no effect while the stream is connecting. */
 void stream_pause(struct stream *, bool paused);
 
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -339,6 +339,26 @@
 	EXPECT_LT(received, answer.size());
 }
 
+/* Guards against an end of the process while callers still read (review/5). */
+TEST_F(Server, IsFlushedOnceCallersHaveTheirAnswers)
+{
+	int fd = connect_to_server(), small = 65536;
+	char buf[65536];
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	EXPECT_FALSE(http_server_is_flushed(server));
+	respond(0, std::string(4 << 20, 'x'));
+	run_ms(50);
+	EXPECT_FALSE(http_server_is_flushed(server));
+	EXPECT_TRUE(run_until([&] {
+		while (recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0)
+			;
+		return http_server_is_flushed(server);
+	}));
+}
+
 /* The client, with the tests as the target. */
 
 namespace {
