membership: probe members that are gone

Cause: a member that is silent for 4 s is declared gone, and nothing is sent to members that are gone. Two that declared each other gone never learned that they had been declared gone themselves, which is what makes a host join under a new incarnation. Each told the others its list, and these believe a report of "gone". A partition between members of 4 s or more has the same end.

Change: a member sends one that is gone a heartbeat once a second. The answers tell each side what the other believes, and both join again. A daemon that stood still restarts its failure timers first, as the silence was its own.

Tests: Membership.HostsThatWerePartitionedAreUsedAgain failed before (two of three hosts got no call after the partition).

--- a/core/group.h
+++ b/core/group.h
@@ -76,6 +76,7 @@
 	/* Calls by the local target to the service; decays exponentially. */
 	double recent_nested_calls;
 	uint64_t last_poll_us; /* last poll of a random member; 0: none yet */
+	uint64_t gone_probed_us; /* last probe of a member that is gone */
 	uint64_t rows_read_us; /* last read of the members' rows; 0: none */
 	/* When other daemons were asked for them first; 0: not yet. */
 	uint64_t peers_asked_us;
--- a/core/membership.c
+++ b/core/membership.c
@@ -28,6 +28,8 @@
 #define POLL_INTERVAL_US (1 * SEC_US)
 /* Interval between probes of a member whose link broke. */
 #define UNREACHABLE_PROBE_INTERVAL_US (500 * MSEC_US)
+/* Interval between probes of members that are gone, one at a time. */
+#define GONE_PROBE_INTERVAL_US (1 * SEC_US)
 /* A group without a local target is dropped after this long without a call. */
 #define GROUP_IDLE_TIMEOUT_US (120 * SEC_US)
 
@@ -474,6 +476,33 @@
 	}
 }
 
+/*
+ * A member that was declared gone may have been paused or cut off, and does
+ * not know of it.  From the answer to its probe, or from that to its own
+ * heartbeat afterwards, each side learns that the other one took it for gone,
+ * and joins again under a new incarnation.
+ */
+static void
+probe_gone(
+    struct node *n, struct group *g, struct instant now, struct msg_list *out)
+{
+	struct member *m, *pick = NULL;
+	uint64_t seen = 0;
+
+	if (now.mono_us - g->gone_probed_us < GONE_PROBE_INTERVAL_US)
+		return;
+	g->gone_probed_us = now.mono_us;
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (m->record.state != MEMBER_GONE || m->is_self ||
+		    group_find(g, m->record.addr) != m)
+			continue;
+		if (rng_below(&n->rng, ++seen) == 0)
+			pick = m;
+	}
+	if (pick != NULL)
+		membership_send_ask(n, g, pick->record.addr, now, out);
+}
+
 /*
  * What peers know may be outdated: if no member answers, the rows are read.
  */
@@ -512,10 +541,7 @@
 		membership_read_rows(n, g, now, out);
 }
 
-/*
- * A daemon that only calls a service hears of most members from others.  Their
- * own silence is no sign of failure, so their failure timers are restarted.
- */
+/* Restart the failure timers of all members. */
 static void
 refresh_heard_times(struct group *g, struct instant now)
 {
@@ -531,9 +557,14 @@
 {
 	if (n->target.left)
 		return;
+	/* Who stood still has heard nobody, and may not blame the others. */
+	if (n->last_tick_us != 0 &&
+	    now.mono_us - n->last_tick_us >= SUSPEND_GAP_US)
+		refresh_heard_times(g, now);
 	if (group_tick(g, now))
 		n->counters.values[COUNT_MEMBERS_GONE]++;
 	send_heartbeats(n, g, now, out);
+	probe_gone(n, g, now, out);
 	if (!n->target.row_written && now.mono_us - n->target.row_written_us >
 					  ROW_WRITE_RETRY_INTERVAL_US) {
 		membership_write_own_row(n, g, now, out);
@@ -562,6 +593,10 @@
 			group_destroy(g);
 			continue;
 		}
+		/*
+		 * Most members are heard of from others only, so that their own
+		 * silence is no sign of failure.
+		 */
 		refresh_heard_times(g, now);
 		group_tick(g, now);
 		poll_random_member(n, g, now, out);
