control: date confirmations by their questions

Reported by other operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile.

Cause, found by reading: a daemon takes the configuration, and the keys in it, for current from the moment at which a message is read, less the age that its sender names. An answer of the parent, or a question of a child, that lay in the socket's buffer during a pause was so taken for new. A key that had been withdrawn meanwhile would be accepted until the next true answer.

Change: an answer counts from the time at which its question was sent; a message that answers no question of ours confirms nothing; after a gap between ticks a child's question confirms nothing for a second.

--- a/core/control.c
+++ b/core/control.c
@@ -111,16 +111,21 @@
 		send_config(n, t->parent, n->conf.previous_version, now, out);
 }
 
+/*
+ * Take over a configuration or the confirmation of ours, whose age counts from
+ * proof_us; 0: it confirms nothing.
+ */
 static enum conf_result
 offer_config(struct node *n, const struct config *c, struct addr from,
-    struct instant now, struct msg_list *out)
+    uint64_t proof_us, struct instant now, struct msg_list *out)
 {
+	struct instant proof = {.mono_us = proof_us, .wall_ms = now.wall_ms};
 	enum conf_result ret;
 	bool newer = c->version > n->conf.version;
 
 	if (newer)
 		clear_all_totals(n);
-	ret = confstate_offer(&n->conf, c, now);
+	ret = confstate_offer(&n->conf, c, proof);
 	if (newer)
 		set_all_totals(n);
 	if (ret == CONF_REFUSED)
@@ -256,7 +261,7 @@
 	c.digest = confstate_digest(row->value.data, row->value.len);
 	c.text = row->value;
 	c.confirmed_age_ms = config_proof_age_ms(row, now);
-	offer_config(n, &c, n->setup.self, now, out);
+	offer_config(n, &c, n->setup.self, now.mono_us, now, out);
 }
 
 /* The row names our successor, which is the root from now on. */
@@ -361,7 +366,7 @@
 	if (ask->epoch > t->epoch)
 		row_watch_reset(&t->root_row);
 	/* A child may have read the platform and confirm the same version. */
-	if (ask->version == n->conf.version)
+	if (ask->version == n->conf.version && !node_reads_backlog(n, now))
 		confstate_confirm(&n->conf, ask->confirmed_age_ms, now);
 	admitted = tree_admit(
 	    t, msg->peer, ask->version, now.mono_us, &n->rng, &redirect);
@@ -405,6 +410,7 @@
 {
 	struct msg *m = msg_emit(out, MSG_CONFIG_ASK, to, node_next_seq(n));
 
+	tree_note_ask(&n->tree, m->seq, now.mono_us);
 	m->u.config.version = version;
 	m->u.config.epoch = n->tree.epoch;
 	m->u.config.confirmed_age_ms =
@@ -418,6 +424,11 @@
 {
 	struct config *c = &msg->u.config;
 	struct tree_child *child;
+	/*
+	 * The message may have waited on the way or while this process was
+	 * paused, so it proves only what it did when its question was sent.
+	 */
+	uint64_t asked_us = tree_ask_sent_us(&n->tree, msg->seq);
 
 	handle_parent_reply(n, c, msg->peer, now);
 	if (c->epoch > n->tree.epoch)
@@ -425,7 +436,8 @@
 	child = tree_child(&n->tree, msg->peer);
 	if (child != NULL && child->config_version < c->version)
 		child->config_version = c->version;
-	if (offer_config(n, c, msg->peer, now, out) == CONF_NEED_WHOLE)
+	if (offer_config(n, c, msg->peer, asked_us, now, out) ==
+	    CONF_NEED_WHOLE)
 		send_config_ask(n, msg->peer, 0, now, out);
 }
 
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -40,6 +40,12 @@
 
 /* The most seed daemons, and the most recent peers, that a node keeps. */
 #define MAX_SEEDS 8
+/*
+ * After a gap this long between two ticks, messages may have waited in
+ * buffers, and for this long afterwards they are still being read.
+ */
+#define BACKLOG_GAP_US (500 * MSEC_US)
+#define BACKLOG_READ_US (1 * SEC_US)
 /* A gap this long between two ticks means that the process was suspended. */
 #define SUSPEND_GAP_US (2 * SEC_US)
 /*
@@ -204,6 +210,7 @@
 	uint64_t first_seq; /* node_next_seq() gives out the numbers after it */
 	uint64_t next_seq; /* last number that node_next_seq() gave out */
 	uint64_t last_tick_us;
+	uint64_t backlog_until_us; /* see node_reads_backlog() */
 	uint64_t last_slow_tick_us; /* the last slow tick; 0: none yet */
 	bool draining;
 	bool calls_abandoned; /* the grace period ended before all calls did */
@@ -441,6 +448,11 @@
  * one at its address.
  */
 uint64_t node_next_seq(struct node *);
+/*
+ * Whether a message that is handled now may have waited in a buffer, since the
+ * process was paused or busy, so that nobody can tell how old it is.
+ */
+bool node_reads_backlog(const struct node *, struct instant);
 /*
  * Whether this process gave out the number.  A peer's answer with another one
  * is meant for an earlier process at this address.
--- a/core/tree.c
+++ b/core/tree.c
@@ -103,6 +103,27 @@
 	t->config_asked_us = 0;
 }
 
+void
+tree_note_ask(struct tree *t, uint64_t seq, uint64_t now_us)
+{
+	struct tree_ask *a = &t->asks[t->asks_added++ % TREE_ASKS_KEPT];
+
+	a->seq = seq;
+	a->sent_us = now_us;
+}
+
+uint64_t
+tree_ask_sent_us(const struct tree *t, uint64_t seq)
+{
+	int i;
+
+	for (i = 0; i < TREE_ASKS_KEPT; i++) {
+		if (seq != 0 && t->asks[i].seq == seq)
+			return t->asks[i].sent_us;
+	}
+	return 0;
+}
+
 void
 tree_format_root(
     char text[TREE_ROOT_LEN], struct addr root, uint64_t incarnation)
--- a/core/tree.h
+++ b/core/tree.h
@@ -44,6 +44,15 @@
 
 TAILQ_HEAD(tree_children, tree_child);
 
+/* A question for the configuration, by which its answer is dated. */
+struct tree_ask {
+	uint64_t seq; /* of the message; 0: none */
+	uint64_t sent_us;
+};
+
+/* How many questions are remembered; enough for all seeds and peers at once. */
+#define TREE_ASKS_KEPT 32
+
 struct tree {
 	struct tree_children children;
 	int nchildren;
@@ -58,6 +67,8 @@
 	int depth; /* unused */
 	uint64_t parent_heard_us; /* the parent's last message */
 	uint64_t config_asked_us; /* last request to the parent or seeds */
+	struct tree_ask asks[TREE_ASKS_KEPT]; /* ring of the latest ones */
+	unsigned int asks_added; /* added so far */
 	struct row_watch root_row;
 	struct row_watch config_row;
 	uint64_t platform_answered_us; /* last answer of the platform */
@@ -88,6 +99,10 @@
 void tree_tick(struct tree *, uint64_t now_us);
 /* Switch to another parent, which has not accepted us yet; zero: none. */
 void tree_set_parent(struct tree *, struct addr, uint64_t now_us);
+/* Remember when a question for the configuration was sent. */
+void tree_note_ask(struct tree *, uint64_t seq, uint64_t now_us);
+/* When the question with that number was sent; 0: it is not known. */
+uint64_t tree_ask_sent_us(const struct tree *, uint64_t seq);
 /* False for the zero address, which stands for none. */
 bool addr_is_set(struct addr);
 
--- a/t/test-control.cc
+++ b/t/test-control.cc
@@ -504,3 +504,108 @@
 		EXPECT_EQ(d.node->tree.is_root, !late);
 	}
 }
+
+namespace {
+
+const struct addr PARENT = {0x0a000002, 7000}, CHILD = {0x0a000003, 7000};
+
+/* A daemon with a configuration and, by the root's row, a parent. */
+struct ChildDaemon : public LoneDaemon {
+	ChildDaemon()
+	{
+		struct msg *m = tick(MSG_ROW_READ);
+		std::string text = chain_config();
+		char root[TREE_ROOT_LEN];
+
+		tree_format_root(root, PARENT, 1);
+		buffer_set(&m->u.row.value, root, strlen(root));
+		answer(m, ROW_FOUND, 1);
+		m = msg_create(MSG_ROW);
+		name_copy(m->u.row.key, "config", ROW_KEY_LEN);
+		buffer_set(&m->u.row.value, text.data(), text.size());
+		m->u.row.asked_us = now.mono_us;
+		answer(m, ROW_FOUND, 1);
+	}
+	/* Tick until the parent is asked; the number of the question. */
+	uint64_t
+	ask_parent()
+	{
+		uint64_t seq = 0;
+		int i;
+
+		for (i = 0; i < 20 && seq == 0; i++) {
+			struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+			struct msg *m;
+
+			now.mono_us += 100 * MSEC_US;
+			node_tick(node, now, &out);
+			TAILQ_FOREACH (m, &out, entry) {
+				if (m->kind == MSG_CONFIG_ASK)
+					seq = m->seq;
+			}
+			msg_list_clear(&out);
+		}
+		return seq;
+	}
+	/* A message that says "the version in force was confirmed just now". */
+	void
+	hear(enum msg_kind kind, struct addr from, uint64_t seq)
+	{
+		struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+		struct msg *m = msg_create(kind);
+
+		m->peer = from;
+		m->seq = seq;
+		m->u.config.version = 1;
+		m->u.config.confirmed_age_ms = 100;
+		node_handle(node, m, now, &out);
+		msg_list_clear(&out);
+	}
+	uint64_t
+	proof_age_us() const
+	{
+		return now.mono_us - node->conf.confirmed_us;
+	}
+};
+
+} // namespace
+
+/*
+ * Guards against a withdrawn key that a daemon accepts after a pause: the
+ * parent's answer lay in the socket's buffer, and must not prove more than it
+ * did when its question was sent.
+ */
+TEST(Control, AnswerReadAfterAPauseIsAsOldAsItsQuestion)
+{
+	ChildDaemon d;
+	uint64_t seq = d.ask_parent();
+
+	ASSERT_NE(seq, 0u);
+	d.now.mono_us += 20 * MSEC_US;
+	d.hear(MSG_CONFIG, PARENT, seq);
+	EXPECT_LE(d.proof_age_us(), 150 * MSEC_US);
+	seq = d.ask_parent();
+	ASSERT_NE(seq, 0u);
+	d.now.mono_us += 8 * SEC_US;
+	d.hear(MSG_CONFIG, PARENT, seq);
+	EXPECT_GE(d.proof_age_us(), 8 * SEC_US);
+}
+
+/* Nor may a child's question that waited there. */
+TEST(Control, QuestionReadAfterAPauseProvesNothing)
+{
+	for (bool ticks_first : {false, true}) {
+		struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+		ChildDaemon d;
+
+		d.ask_parent();
+		d.hear(MSG_CONFIG_ASK, CHILD, 1);
+		EXPECT_LE(d.proof_age_us(), 150 * MSEC_US);
+		d.now.mono_us += 8 * SEC_US;
+		if (ticks_first)
+			node_tick(d.node, d.now, &out);
+		d.hear(MSG_CONFIG_ASK, CHILD, 2);
+		EXPECT_GE(d.proof_age_us(), 8 * SEC_US);
+		msg_list_clear(&out);
+	}
+}
