http_message: refuse a response without a valid status

Callers got a target's answer with the status 000 as an answer of its own: "HTTP/1.1 0 Unknown".

Cause: the parser library takes any number up to 999, of any count of digits, and any version "HTTP/D.D" with any byte in the reason phrase; on_headers_complete() looked at none of this. The library of Debian is built without its strict checks, so a setting could not cure it.

Start lines are now scanned by a module of their own (http_syntax) before the library sees them: RFC 9112, 2.3, 3 and 4. A status outside 100 to 599 makes the response broken (RFC 9110, 15): its caller is told that the request may have run, and the connection closes.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	  leave ledger limit local_target member_row membership msg node operator \
 	  owners ownership pool pressure quota retry row_watch serve shed tree types \
 	  verdict window
-WIRE	= context frame_decode frame_encode httpmap link.pb-c
+WIRE	= context frame_decode frame_encode http_syntax httpmap link.pb-c
 CONFIG	= catalog_ini ini settings
 DAEMON	= announce decide dialect dialect_native flush front http_client \
 	  http_message http_server link log main operators platform probe \
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -138,6 +138,8 @@
 		m->expects_continue =
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
 	} else {
+		if (!http_is_status(p->status_code))
+			return -1;
 		m->until_close = !r->no_body && !has_known_length(p);
 	}
 	return r->no_body ? 1 : 0;
@@ -180,15 +182,23 @@
     .on_message_complete = on_message_complete,
 };
 
+static void
+begin_message(struct http_reader *r, enum http_parser_type type)
+{
+	http_parser_init(&r->parser, type);
+	r->parser.data = r;
+	http_scan_init(&r->scan,
+	    type == HTTP_REQUEST ? HTTP_SCAN_REQUEST : HTTP_SCAN_RESPONSE);
+}
+
 void
 http_reader_init(struct http_reader *r, enum http_reader_kind kind,
     const struct http_limits *limits)
 {
 	memset(r, 0, sizeof(*r));
 	r->limits = *limits;
-	http_parser_init(&r->parser,
-	    kind == HTTP_READ_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
-	r->parser.data = r;
+	begin_message(
+	    r, kind == HTTP_READ_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 }
 
 void
@@ -203,35 +213,57 @@
 	return r->state == HTTP_READER_HEAD || r->state == HTTP_READER_BODY;
 }
 
-size_t
-http_reader_feed(struct http_reader *r, const char *data, size_t len)
+/* Have the library parse bytes; returns how many it has used. */
+static size_t
+parse(struct http_reader *r, const char *data, size_t len)
 {
-	bool head = r->state == HTTP_READER_HEAD;
-	size_t used;
+	size_t used =
+	    http_parser_execute(&r->parser, &parser_callbacks, data, len);
+	enum http_errno error = HTTP_PARSER_ERRNO(&r->parser);
 
-	if (!is_reading(r) || len == 0)
-		return 0;
-	r->started = true;
-	used = http_parser_execute(&r->parser, &parser_callbacks, data, len);
 	if (r->parser.upgrade)
 		r->state = HTTP_READER_MALFORMED;
+	if (is_reading(r) && error != HPE_OK)
+		r->state = error == HPE_HEADER_OVERFLOW
+			       ? HTTP_READER_HEAD_TOO_LONG
+			       : HTTP_READER_MALFORMED;
+	return used;
+}
+
+/* Parse bytes of the start line and the headers. */
+static size_t
+parse_head(struct http_reader *r, const char *data, size_t len)
+{
+	size_t valid = http_scan_feed(&r->scan, data, len), used = 0;
+
+	if (r->scan.state == HTTP_SCAN_DONE)
+		valid = len;
+	if (valid > 0)
+		used = parse(r, data, valid);
+	if (is_reading(r) && r->scan.state == HTTP_SCAN_INVALID)
+		r->state = HTTP_READER_MALFORMED;
 	/*
 	 * The bytes that complete the head may be followed by a body and are
 	 * not counted; the length of the text bounds them.
 	 */
 	if (r->state == HTTP_READER_HEAD)
 		r->head_bytes += used;
-	if (head && r->head_bytes > r->limits.header_bytes)
-		r->state = HTTP_READER_HEAD_TOO_LONG;
-	if (head && r->msg.text_len > r->limits.header_bytes)
+	if (r->head_bytes > r->limits.header_bytes ||
+	    r->msg.text_len > r->limits.header_bytes)
 		r->state = HTTP_READER_HEAD_TOO_LONG;
-	if (is_reading(r) && HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
-		r->state = HTTP_PARSER_ERRNO(&r->parser) == HPE_HEADER_OVERFLOW
-			       ? HTTP_READER_HEAD_TOO_LONG
-			       : HTTP_READER_MALFORMED;
 	return used;
 }
 
+size_t
+http_reader_feed(struct http_reader *r, const char *data, size_t len)
+{
+	if (!is_reading(r) || len == 0)
+		return 0;
+	r->started = true;
+	return r->state == HTTP_READER_HEAD ? parse_head(r, data, len)
+					    : parse(r, data, len);
+}
+
 void
 http_reader_eof(struct http_reader *r)
 {
@@ -245,8 +277,7 @@
 	enum http_parser_type type = (enum http_parser_type)r->parser.type;
 
 	http_message_release(&r->msg);
-	http_parser_init(&r->parser, type);
-	r->parser.data = r;
+	begin_message(r, type);
 	r->state = HTTP_READER_HEAD;
 	r->head_bytes = 0;
 	r->started = false;
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -3,7 +3,8 @@
  *
  * A wrapper of the http_parser library that collects the parts of a message,
  * bounds their size and reports when the message is complete.  A message with
- * ambiguous framing, or whose connection ends early, never becomes complete.
+ * a wrong syntax or ambiguous framing, or whose connection ends early, never
+ * becomes complete.
  *
  *	http_reader_init(&r, HTTP_READ_REQUEST, &limits);
  *	used = http_reader_feed(&r, data, len);
@@ -19,6 +20,7 @@
 #include <http_parser.h>
 
 #include "core/types.h"
+#include "wire/http_syntax.h"
 
 #define HTTP_MAX_FIELDS 100 /* header lines in one message */
 
@@ -62,6 +64,7 @@
 
 struct http_reader {
 	struct http_parser parser;
+	struct http_scan scan; /* ahead of the parser */
 	struct http_message msg;
 	struct http_limits limits;
 	enum http_reader_state state;
--- a/t/standin-target.c
+++ b/t/standin-target.c
@@ -17,6 +17,8 @@
  *		shed		refuse calls as not run
  *		truncate	send less than the stated Content-Length
  *		endless		send part of a body without a length
+ *		raw		send the bytes of the parameter "text" as the
+ *				response
  *		crash		exit after the next call has run, before its
  *				response
  *	/-/stats		counters: calls run, API keys seen, the most
@@ -27,6 +29,7 @@
  */
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -50,10 +53,11 @@
 	MODE_TRUNCATE,
 	MODE_CRASH,
 	MODE_ENDLESS,
+	MODE_RAW,
 };
 
-static const char *const mode_names[] = {
-    "ok", "slow", "cold", "draining", "shed", "truncate", "crash", "endless"};
+static const char *const mode_names[] = {"ok", "slow", "cold", "draining",
+    "shed", "truncate", "crash", "endless", "raw"};
 
 /* A call that runs, or that waits for a slot. */
 struct call {
@@ -73,6 +77,7 @@
 	GHashTable *runs_by_id;
 	enum mode mode;
 	uint64_t mode_ms; /* the parameter "ms" of the mode */
+	gchar *raw_text; /* its parameter "text" */
 	uint64_t cold_until_us;
 	uint64_t rng;
 	uint64_t runs;
@@ -193,6 +198,18 @@
 	evbuffer_free(buf);
 }
 
+/* Send bytes as they are; the request ends when the daemon closes. */
+static void
+call_reply_raw(struct call *c, const char *text)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(c->req));
+	ssize_t len = (ssize_t)strlen(text);
+
+	if (write(bufferevent_getfd(bev), text, (size_t)len) != len)
+		abort();
+}
+
 static void
 call_finish(struct call *c, int status, const char *suffix)
 {
@@ -205,6 +222,8 @@
 		evhttp_request_free(c->req);
 	else if (t->mode == MODE_TRUNCATE || t->mode == MODE_ENDLESS)
 		call_reply_truncated(c, t->mode == MODE_TRUNCATE);
+	else if (t->mode == MODE_RAW)
+		call_reply_raw(c, t->raw_text);
 	else
 		standin_reply(c->req, status, "%s answers %s for %s id %s%s\n",
 		    service, evhttp_request_get_uri(c->req),
@@ -317,6 +336,8 @@
 			t->mode = i;
 	}
 	t->mode_ms = standin_param_number(req, "ms", 100);
+	g_free(t->raw_text);
+	t->raw_text = standin_param(req, "text", "");
 	t->cold_until_us = standin_now_us() + t->mode_ms * 1000;
 	if (t->mode == MODE_DRAINING)
 		send_announcement(t, true);
--- a/t/t0001-path.sh
+++ b/t/t0001-path.sh
@@ -72,6 +72,16 @@
 	target_mode 3 $mode
 	expect 502 unknown $PORT /bookings -X POST -d x=1 -H "$AUTH"
 done
+# The same for bytes that are no response.  Each text is percent-encoded.
+for text in \
+	'HTTP/1.1%20000%20OK%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
+	'HTTP/1.1%2020%20OK%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
+	'HTTP/1.1%20999%20OK%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
+	'HTTP/2.0%20200%20OK%0D%0AContent-Length:%201%0D%0A%0D%0Ax'
+do
+	target_mode 3 "raw&text=$text"
+	expect 502 unknown $PORT /bookings -X POST -d x=1 -H "$AUTH"
+done
 target_mode 3 shed
 expect 503 not-run $PORT /bookings -X POST -d x=1 -H "$AUTH"
 target_mode 3 ok
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -651,6 +651,44 @@
 	}
 }
 
+namespace {
+
+/* Responses whose status code is not one of 100 to 599 (RFC 9110, 15). */
+std::vector<std::string>
+responses_with_invalid_status()
+{
+	std::vector<std::string> v;
+
+	for (const char *status : {"000", "001", "099", "600", "999", "0", "20",
+		 "2", "0200", "00200", "2000", "-200", "+20", "0x2", "2OO", ""})
+		v.push_back(std::string("HTTP/1.1 ") + status +
+			    " OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\n"
+			    "Content-Length: 3\r\n\r\none");
+	return v;
+}
+
+} // namespace
+
+/*
+ * Guards against an answer of a faulty target whose status is none, such as
+ * 000, and that reaches the caller.
+ */
+TEST_F(Client, AResponseWithAnInvalidStatusIsBroken)
+{
+	for (const std::string &response : responses_with_invalid_status()) {
+		int fd;
+
+		send("1");
+		fd = accept_connection();
+		receive(fd, "\r\n\r\n");
+		send_text(fd, response);
+		ASSERT_TRUE(await_result()) << response;
+		EXPECT_EQ(outcome, HTTP_BROKEN) << response;
+		EXPECT_TRUE(may_have_sent);
+		EXPECT_EQ(receive(fd, ""), "");
+	}
+}
+
 TEST_F(Client, ARefusedConnectionHasSentNothing)
 {
 	close_socket(listener, false);
--- /dev/null
+++ b/wire/http_syntax.c
@@ -0,0 +1,247 @@
+#include "wire/http_syntax.h"
+
+#define STATUS_DIGITS 3
+
+static const char version_start[] = "HTTP/1.";
+
+static bool
+is_digit(unsigned char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+static bool
+is_visible(unsigned char c)
+{
+	return c > ' ' && c != 0x7f;
+}
+
+/* Part of a reason phrase. */
+static bool
+is_text(unsigned char c)
+{
+	return c == ' ' || c == '\t' || is_visible(c);
+}
+
+static bool
+is_token(unsigned char c)
+{
+	switch (c) {
+	case '!':
+	case '#':
+	case '$':
+	case '%':
+	case '&':
+	case '\'':
+	case '*':
+	case '+':
+	case '-':
+	case '.':
+	case '^':
+	case '_':
+	case '`':
+	case '|':
+	case '~':
+		return true;
+	default:
+		return is_digit(c) || (c >= 'A' && c <= 'Z') ||
+		       (c >= 'a' && c <= 'z');
+	}
+}
+
+/* Returns next if the byte is the wanted one. */
+static enum http_scan_state
+expect(unsigned char c, unsigned char want, enum http_scan_state next)
+{
+	return c == want ? next : HTTP_SCAN_INVALID;
+}
+
+/* Matches the start of the version, which ends before its last digit. */
+static enum http_scan_state
+scan_version_start(struct http_scan *s, unsigned char c,
+    enum http_scan_state same, enum http_scan_state next)
+{
+	if (c != (unsigned char)version_start[s->matched])
+		return HTTP_SCAN_INVALID;
+	if (++s->matched < sizeof(version_start) - 1)
+		return same;
+	s->matched = 0;
+	return next;
+}
+
+static enum http_scan_state
+scan_request(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	/* A server ignores empty lines before a request (RFC 9112, 2.2). */
+	if (c == '\r')
+		return HTTP_SCAN_EMPTY_LINE_END;
+	return is_token(c) ? HTTP_SCAN_METHOD : HTTP_SCAN_INVALID;
+}
+
+static enum http_scan_state
+scan_empty_line_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\n', HTTP_SCAN_REQUEST);
+}
+
+static enum http_scan_state
+scan_method(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_token(c))
+		return HTTP_SCAN_METHOD;
+	return expect(c, ' ', HTTP_SCAN_TARGET_START);
+}
+
+static enum http_scan_state
+scan_target_start(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return is_visible(c) ? HTTP_SCAN_TARGET : HTTP_SCAN_INVALID;
+}
+
+static enum http_scan_state
+scan_target(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_visible(c))
+		return HTTP_SCAN_TARGET;
+	return expect(c, ' ', HTTP_SCAN_VERSION);
+}
+
+static enum http_scan_state
+scan_version(struct http_scan *s, unsigned char c)
+{
+	return scan_version_start(
+	    s, c, HTTP_SCAN_VERSION, HTTP_SCAN_VERSION_MINOR);
+}
+
+static enum http_scan_state
+scan_version_minor(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return is_digit(c) ? HTTP_SCAN_REQUEST_LINE_END : HTTP_SCAN_INVALID;
+}
+
+static enum http_scan_state
+scan_request_line_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+}
+
+static enum http_scan_state
+scan_response(struct http_scan *s, unsigned char c)
+{
+	return scan_version_start(
+	    s, c, HTTP_SCAN_RESPONSE, HTTP_SCAN_RESPONSE_MINOR);
+}
+
+static enum http_scan_state
+scan_response_minor(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return is_digit(c) ? HTTP_SCAN_STATUS_SPACE : HTTP_SCAN_INVALID;
+}
+
+static enum http_scan_state
+scan_status_space(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, ' ', HTTP_SCAN_STATUS);
+}
+
+static enum http_scan_state
+scan_status(struct http_scan *s, unsigned char c)
+{
+	if (!is_digit(c))
+		return HTTP_SCAN_INVALID;
+	return ++s->matched < STATUS_DIGITS ? HTTP_SCAN_STATUS
+					    : HTTP_SCAN_STATUS_END;
+}
+
+static enum http_scan_state
+scan_status_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (c == ' ')
+		return HTTP_SCAN_REASON;
+	/* Many servers send no space before an absent reason phrase. */
+	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+}
+
+static enum http_scan_state
+scan_reason(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_text(c))
+		return HTTP_SCAN_REASON;
+	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+}
+
+static enum http_scan_state
+scan_start_line_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\n', HTTP_SCAN_DONE);
+}
+
+/* Each takes the next byte in a state and returns the state after it. */
+static enum http_scan_state (*const steps[])(
+    struct http_scan *, unsigned char) = {
+    [HTTP_SCAN_REQUEST] = scan_request,
+    [HTTP_SCAN_RESPONSE] = scan_response,
+    [HTTP_SCAN_EMPTY_LINE_END] = scan_empty_line_end,
+    [HTTP_SCAN_METHOD] = scan_method,
+    [HTTP_SCAN_TARGET_START] = scan_target_start,
+    [HTTP_SCAN_TARGET] = scan_target,
+    [HTTP_SCAN_VERSION] = scan_version,
+    [HTTP_SCAN_VERSION_MINOR] = scan_version_minor,
+    [HTTP_SCAN_REQUEST_LINE_END] = scan_request_line_end,
+    [HTTP_SCAN_RESPONSE_MINOR] = scan_response_minor,
+    [HTTP_SCAN_STATUS_SPACE] = scan_status_space,
+    [HTTP_SCAN_STATUS] = scan_status,
+    [HTTP_SCAN_STATUS_END] = scan_status_end,
+    [HTTP_SCAN_REASON] = scan_reason,
+    [HTTP_SCAN_START_LINE_END] = scan_start_line_end,
+};
+
+void
+http_scan_init(struct http_scan *s, enum http_scan_state first)
+{
+	s->state = first;
+	s->matched = 0;
+}
+
+static bool
+is_over(const struct http_scan *s)
+{
+	return s->state >= HTTP_SCAN_DONE;
+}
+
+size_t
+http_scan_feed(struct http_scan *s, const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len && !is_over(s); i++) {
+		s->state = steps[s->state](s, (unsigned char)data[i]);
+		if (s->state == HTTP_SCAN_INVALID)
+			break;
+	}
+	return i;
+}
+
+bool
+http_is_status(uint64_t n)
+{
+	return n >= 100 && n <= 599;
+}
+
+bool
+http_is_final_status(uint64_t n)
+{
+	return http_is_status(n) && n >= 200;
+}
