http_message: refuse field lines that are none

A response whose head had a control byte in front of a field name came to its caller as an answer with a body that was not the target's: at "\rX: a" or "\nX: a" the library takes the head to be over, and reads the rest of it as the body, which it is for a response without a length. Control bytes in values were passed on, bare line feeds ended lines, and folded lines were joined (" X: v" became part of the value before it).

Cause: http_parser as Debian builds it checks neither what follows CR nor the bytes of a value. A blank or another control byte in a name was refused before; the test covers them all the same.

The scan in front of the library now covers the whole head: names are tokens (RFC 9110, 5.1), values hold no control bytes but HTAB (5.5), lines end with CRLF and none is folded (RFC 9112, 2.2 and 5.2). A head that the scan and the library end at different bytes is malformed. The limit of the head's size now counts just the head's bytes, however they arrive.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -66,12 +66,6 @@
 	/* Trailers are parsed but not kept. */
 	if (r->state != HTTP_READER_HEAD)
 		return 0;
-	/*
-	 * http_parser accepts white space before the colon, which other
-	 * parsers reject: refuse it, so that all agree on the framing.
-	 */
-	if (memchr(at, ' ', len) != NULL || memchr(at, '\t', len) != NULL)
-		return -1;
 	if (r->in_value || m->nfields == 0) {
 		if (m->nfields == HTTP_MAX_FIELDS)
 			return -1;
@@ -102,8 +96,6 @@
 		m->fields[m->nfields - 1].value_offset = (uint32_t)m->text_len;
 		r->in_value = true;
 	}
-	if (memchr(at, '\0', len) != NULL)
-		return -1;
 	text_add(m, at, len);
 	return 0;
 }
@@ -230,38 +222,46 @@
 	return used;
 }
 
-/* Parse bytes of the start line and the headers. */
+/* Parse bytes as far as the scan finds them valid; returns how many. */
 static size_t
-parse_head(struct http_reader *r, const char *data, size_t len)
+parse_scanned(struct http_reader *r, const char *data, size_t len)
 {
-	size_t valid = http_scan_feed(&r->scan, data, len), used = 0;
+	size_t valid = http_scan_feed(&r->scan, data, len);
+	size_t used = valid > 0 ? parse(r, data, valid) : 0;
 
-	if (r->scan.state == HTTP_SCAN_DONE)
-		valid = len;
-	if (valid > 0)
-		used = parse(r, data, valid);
 	if (is_reading(r) && r->scan.state == HTTP_SCAN_INVALID)
 		r->state = HTTP_READER_MALFORMED;
-	/*
-	 * The bytes that complete the head may be followed by a body and are
-	 * not counted; the length of the text bounds them.
-	 */
-	if (r->state == HTTP_READER_HEAD)
-		r->head_bytes += used;
-	if (r->head_bytes > r->limits.header_bytes ||
-	    r->msg.text_len > r->limits.header_bytes)
+	return used;
+}
+
+/* Parse bytes up to the end of the head. */
+static size_t
+parse_head(struct http_reader *r, const char *data, size_t len)
+{
+	size_t used = parse_scanned(r, data, len);
+
+	r->head_bytes += used;
+	if (r->head_bytes > r->limits.header_bytes)
 		r->state = HTTP_READER_HEAD_TOO_LONG;
+	else if (r->state == HTTP_READER_HEAD &&
+		 r->scan.state == HTTP_SCAN_DONE)
+		r->state = HTTP_READER_MALFORMED; /* the library disagrees */
 	return used;
 }
 
 size_t
 http_reader_feed(struct http_reader *r, const char *data, size_t len)
 {
+	size_t used = 0;
+
 	if (!is_reading(r) || len == 0)
 		return 0;
 	r->started = true;
-	return r->state == HTTP_READER_HEAD ? parse_head(r, data, len)
-					    : parse(r, data, len);
+	if (r->state == HTTP_READER_HEAD)
+		used = parse_head(r, data, len);
+	if (r->state == HTTP_READER_BODY && used < len)
+		used += parse(r, data + used, len - used);
+	return used;
 }
 
 void
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -137,6 +137,105 @@
 	}
 }
 
+namespace {
+
+/* Where a field line can stand in a response: what is before and after it. */
+const struct {
+	const char *before, *after;
+} PLACES[] = {
+    {"HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n", "\r\n"},
+};
+
+/* Expect a state after a response with a field line, at each place. */
+void
+expect_state_with_line(const std::string &line, enum http_reader_state want)
+{
+	for (const auto &place : PLACES) {
+		Reader reader(HTTP_READ_RESPONSE);
+		const std::string text =
+		    place.before + line + "\r\n" + place.after;
+
+		reader.feed(text, 1000);
+		EXPECT_EQ(reader.r.state, want) << testing::PrintToString(text);
+	}
+}
+
+} // namespace
+
+/*
+ * RFC 9110, 5.1: a field name is a token.  Guards against a name that holds a
+ * blank or a control byte and is passed on, or that makes the library read
+ * another field than other parsers do.
+ */
+TEST(HttpMessage, AFieldNameIsAToken)
+{
+	const std::string token =
+	    "!#$%&'*+-.^_`|~0123456789"
+	    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+	int c;
+
+	for (c = 0; c < 256; c++) {
+		if (c == ':' || token.find((char)c) != token.npos)
+			continue;
+		for (const std::string name : {"X-A", "Content-Length",
+			 "Connection", "Transfer-Encoding", "Upgrade"}) {
+			for (size_t at = 0; at <= name.size(); at++) {
+				std::string line = name;
+
+				line.insert(at, 1, (char)c);
+				expect_state_with_line(
+				    line + ": 3", HTTP_READER_MALFORMED);
+			}
+		}
+	}
+	for (char t : token)
+		expect_state_with_line(
+		    std::string(1, t) + ": v", HTTP_READER_COMPLETE);
+}
+
+/* RFC 9112, 5, and 5.2: a folded line is refused. */
+TEST(HttpMessage, AFieldLineHasANameAndAColon)
+{
+	for (const char *line : {": v", "X", "X v", " X: v", "\tX: v",
+		 "X\r\n: v", "X: v\r\n folded", "X: v\r\n\tfolded", "X:\r\n v"})
+		expect_state_with_line(line, HTTP_READER_MALFORMED);
+}
+
+/* RFC 9110, 5.5 and RFC 9112, 2.2: also no bare CR or LF. */
+TEST(HttpMessage, AFieldValueHoldsNoControlBytes)
+{
+	int c;
+
+	for (c = 0; c < 256; c++) {
+		const std::string value = (char)c + std::string("b");
+		const enum http_reader_state want =
+		    c == '\t' || (c >= ' ' && c != 0x7f)
+			? HTTP_READER_COMPLETE
+			: HTTP_READER_MALFORMED;
+
+		expect_state_with_line("X: " + value, want);
+		expect_state_with_line("X: a" + value, want);
+	}
+}
+
+/* RFC 9112, 2.1: each line of the head ends with CRLF, the last is empty. */
+TEST(HttpMessage, LinesEndWithCrlf)
+{
+	for (const char *text : {"HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\n\r\n",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\n",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\rX",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\rX: a\r\n\r\n",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\r\n\r\n"}) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed(text, 1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_MALFORMED)
+		    << testing::PrintToString(text);
+	}
+}
+
 TEST(HttpMessage, EnforcesTheLimitsOfHeadAndBody)
 {
 	Reader head(HTTP_READ_REQUEST), body(HTTP_READ_REQUEST);
--- a/t/test-http-syntax.cc
+++ b/t/test-http-syntax.cc
@@ -44,11 +44,11 @@
 	for (const char *line :
 	    {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 404 Not Found",
 		"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 200 \tgut \xc3\xa4"})
-		expect_state(HTTP_SCAN_RESPONSE, std::string(line) + "\r\n",
+		expect_state(HTTP_SCAN_RESPONSE, std::string(line) + "\r\n\r\n",
 		    HTTP_SCAN_DONE);
 	for (const char *line : {"GET / HTTP/1.1", "\r\nPOST /a?b=c HTTP/1.0",
 		 "M-SEARCH * HTTP/1.1", "GET http://a/b HTTP/1.1"})
-		expect_state(HTTP_SCAN_REQUEST, std::string(line) + "\r\n",
+		expect_state(HTTP_SCAN_REQUEST, std::string(line) + "\r\n\r\n",
 		    HTTP_SCAN_DONE);
 }
 
@@ -86,6 +86,19 @@
 	expect_state(HTTP_SCAN_REQUEST, "GET / HTTP/1.1\n", HTTP_SCAN_INVALID);
 }
 
+TEST(HttpSyntax, AHeadEndsWithAnEmptyLine)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\nC:\r\n\r\n";
+	struct http_scan s;
+
+	http_scan_init(&s, HTTP_SCAN_RESPONSE);
+	EXPECT_EQ(http_scan_feed(&s, (head + "\001").data(), head.size() + 1),
+	    head.size());
+	EXPECT_EQ(s.state, HTTP_SCAN_DONE);
+	expect_state(HTTP_SCAN_RESPONSE, "HTTP/1.1 200 OK\r\nA: b\r\n",
+	    HTTP_SCAN_LINE_START);
+}
+
 /* RFC 9110, 15 */
 TEST(HttpSyntax, StatusCodesHaveARange)
 {
--- a/wire/http_syntax.c
+++ b/wire/http_syntax.c
@@ -16,7 +16,7 @@
 	return c > ' ' && c != 0x7f;
 }
 
-/* Part of a reason phrase. */
+/* Part of a reason phrase or of a field value. */
 static bool
 is_text(unsigned char c)
 {
@@ -129,7 +129,7 @@
 scan_request_line_end(struct http_scan *s, unsigned char c)
 {
 	(void)s;
-	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+	return expect(c, '\r', HTTP_SCAN_LINE_END);
 }
 
 static enum http_scan_state
@@ -169,7 +169,7 @@
 	if (c == ' ')
 		return HTTP_SCAN_REASON;
 	/* Many servers send no space before an absent reason phrase. */
-	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+	return expect(c, '\r', HTTP_SCAN_LINE_END);
 }
 
 static enum http_scan_state
@@ -178,11 +178,49 @@
 	(void)s;
 	if (is_text(c))
 		return HTTP_SCAN_REASON;
-	return expect(c, '\r', HTTP_SCAN_START_LINE_END);
+	return expect(c, '\r', HTTP_SCAN_LINE_END);
 }
 
 static enum http_scan_state
-scan_start_line_end(struct http_scan *s, unsigned char c)
+scan_line_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\n', HTTP_SCAN_LINE_START);
+}
+
+/*
+ * White space here would be a folded line, or one that other parsers skip
+ * (RFC 9112, 2.2 and 5.2).
+ */
+static enum http_scan_state
+scan_line_start(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (c == '\r')
+		return HTTP_SCAN_FIELDS_END;
+	return is_token(c) ? HTTP_SCAN_FIELD_NAME : HTTP_SCAN_INVALID;
+}
+
+static enum http_scan_state
+scan_field_name(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_token(c))
+		return HTTP_SCAN_FIELD_NAME;
+	return expect(c, ':', HTTP_SCAN_FIELD_VALUE);
+}
+
+static enum http_scan_state
+scan_field_value(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_text(c))
+		return HTTP_SCAN_FIELD_VALUE;
+	return expect(c, '\r', HTTP_SCAN_LINE_END);
+}
+
+static enum http_scan_state
+scan_fields_end(struct http_scan *s, unsigned char c)
 {
 	(void)s;
 	return expect(c, '\n', HTTP_SCAN_DONE);
@@ -205,7 +243,11 @@
     [HTTP_SCAN_STATUS] = scan_status,
     [HTTP_SCAN_STATUS_END] = scan_status_end,
     [HTTP_SCAN_REASON] = scan_reason,
-    [HTTP_SCAN_START_LINE_END] = scan_start_line_end,
+    [HTTP_SCAN_LINE_END] = scan_line_end,
+    [HTTP_SCAN_LINE_START] = scan_line_start,
+    [HTTP_SCAN_FIELD_NAME] = scan_field_name,
+    [HTTP_SCAN_FIELD_VALUE] = scan_field_value,
+    [HTTP_SCAN_FIELDS_END] = scan_fields_end,
 };
 
 void
--- a/wire/http_syntax.h
+++ b/wire/http_syntax.h
@@ -23,8 +23,8 @@
 
 /* The state after the last byte; a scan begins in one of the first two. */
 enum http_scan_state {
-	HTTP_SCAN_REQUEST, /* the start line of a request */
-	HTTP_SCAN_RESPONSE, /* the start line of a response */
+	HTTP_SCAN_REQUEST, /* the head of a request */
+	HTTP_SCAN_RESPONSE, /* the head of a response */
 	HTTP_SCAN_EMPTY_LINE_END,
 	HTTP_SCAN_METHOD,
 	HTTP_SCAN_TARGET_START,
@@ -37,7 +37,11 @@
 	HTTP_SCAN_STATUS,
 	HTTP_SCAN_STATUS_END,
 	HTTP_SCAN_REASON,
-	HTTP_SCAN_START_LINE_END,
+	HTTP_SCAN_LINE_END,
+	HTTP_SCAN_LINE_START, /* a field line, or the end of the head */
+	HTTP_SCAN_FIELD_NAME,
+	HTTP_SCAN_FIELD_VALUE,
+	HTTP_SCAN_FIELDS_END,
 	/* The states from here on are final. */
 	HTTP_SCAN_DONE,
 	HTTP_SCAN_INVALID,
