http_message: refuse chunks that do not end where they should

A response in chunks that was garbled on its way came to its caller as a whole answer: of "3 CRLF abcXY0 CRLF CRLF" the bytes "XY" were dropped. The same for CR followed by any byte after a size, a chunk or the last line, for a bare LF or a control byte in an extension, for text after the size ("3 x"), and for trailers with a blank in a name, a control byte in a value or a folded line.

Cause: the library checks the line end after a chunk only where it is built to be strict, and on_field() looked at names in the head only.

The scan goes on behind the head of a message in chunks: RFC 9112, 7.1 and 7.1.2.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -249,6 +249,22 @@
 	return used;
 }
 
+/* Parse bytes of the body, up to its end. */
+static size_t
+parse_body(struct http_reader *r, const char *data, size_t len)
+{
+	size_t used;
+
+	if ((r->parser.flags & F_CHUNKED) == 0)
+		return parse(r, data, len);
+	if (r->scan.state == HTTP_SCAN_DONE)
+		http_scan_init(&r->scan, HTTP_SCAN_CHUNKS);
+	used = parse_scanned(r, data, len);
+	if (r->state == HTTP_READER_BODY && r->scan.state == HTTP_SCAN_DONE)
+		r->state = HTTP_READER_MALFORMED; /* the library disagrees */
+	return used;
+}
+
 size_t
 http_reader_feed(struct http_reader *r, const char *data, size_t len)
 {
@@ -260,7 +276,7 @@
 	if (r->state == HTTP_READER_HEAD)
 		used = parse_head(r, data, len);
 	if (r->state == HTTP_READER_BODY && used < len)
-		used += parse(r, data + used, len - used);
+		used += parse_body(r, data + used, len - used);
 	return used;
 }
 
--- a/t/t0001-path.sh
+++ b/t/t0001-path.sh
@@ -81,7 +81,8 @@
 	'HTTP/1.1%20200%20OK%0D%0AA%20B:%20c%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
 	'HTTP/1.1%20200%20OK%0D%0AA%01:%20c%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
 	'HTTP/1.1%20200%20OK%0D%0AA:%20%01%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
-	'HTTP/1.1%20200%20OK%0D%0AA:%20b%0D%0A%20c%0D%0AContent-Length:%201%0D%0A%0D%0Ax'
+	'HTTP/1.1%20200%20OK%0D%0AA:%20b%0D%0A%20c%0D%0AContent-Length:%201%0D%0A%0D%0Ax' \
+	'HTTP/1.1%20200%20OK%0D%0ATransfer-Encoding:%20chunked%0D%0A%0D%0A3%0D%0AabcXY0%0D%0A%0D%0A'
 do
 	target_mode 3 "raw&text=$text"
 	expect 502 unknown $PORT /bookings -X POST -d x=1 -H "$AUTH"
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -145,6 +145,8 @@
 } PLACES[] = {
     {"HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"},
     {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n", "\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n",
+	"\r\n"},
 };
 
 /* Expect a state after a response with a field line, at each place. */
@@ -263,3 +265,60 @@
 		EXPECT_EQ(http_message_field(&reader.r.msg, "T"), nullptr);
 	}
 }
+
+namespace {
+
+const std::string CHUNKED_HEAD =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+/*
+ * RFC 9112, 7.1.  Guards against a body that was garbled on its way and is
+ * taken for whole, since what stands where a chunk should end is skipped.
+ */
+TEST(HttpMessage, WrongChunksAreRefused)
+{
+	for (const char *body : {"3\r\nabcXY0\r\n\r\n",
+		 "3\r\nabcd\r\n0\r\n\r\n", "3\r\nabc\n0\r\n\r\n",
+		 "3\r\nabc\rX0\r\n\r\n", "3\nabc\r\n0\r\n\r\n",
+		 "3\rXabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\n\r\n",
+		 "3\r\nabc\r\n0\rX\r\n", "3\r\nabc\r\n0\r\n\n",
+		 "3\r\nabc\r\n0\r\n\rX", "\r\n3\r\nabc\r\n0\r\n\r\n",
+		 " 3\r\nabc\r\n0\r\n\r\n", "3 x\r\nabc\r\n0\r\n\r\n",
+		 "0x3\r\nabc\r\n0\r\n\r\n", "-3\r\nabc\r\n0\r\n\r\n",
+		 "+3\r\nabc\r\n0\r\n\r\n", "3,\r\nabc\r\n0\r\n\r\n",
+		 "3;a\nb\r\nabc\r\n0\r\n\r\n", "3;\001\r\nabc\r\n0\r\n\r\n",
+		 ";a\r\nabc\r\n0\r\n\r\n", "g\r\nabc\r\n0\r\n\r\n",
+		 "10000000000000003\r\nabc\r\n0\r\n\r\n",
+		 "fffffffffffffffff\r\nabc\r\n0\r\n\r\n"}) {
+		const std::string text = CHUNKED_HEAD + body;
+
+		for (size_t step : {size_t(1), text.size()}) {
+			Reader reader(HTTP_READ_RESPONSE);
+
+			reader.feed(text, step);
+			EXPECT_EQ(reader.r.state, HTTP_READER_MALFORMED)
+			    << testing::PrintToString(body) << " by " << step;
+		}
+	}
+}
+
+TEST(HttpMessage, ChunksMayHaveExtensions)
+{
+	for (const char *body : {"3\r\nabc\r\n0\r\n\r\n",
+		 "003\r\nabc\r\n000\r\n\r\n", "3;a\r\nabc\r\n0;b=c\r\n\r\n",
+		 "3 \t; a=\"b;c\"\r\nabc\r\n0\r\n\r\n",
+		 "1\r\na\r\n2\r\nbc\r\n0\r\nA: b\r\nC:\r\n\r\n"}) {
+		const std::string text = CHUNKED_HEAD + body;
+
+		for (size_t step = 1; step <= text.size(); step++) {
+			Reader reader(HTTP_READ_RESPONSE);
+
+			EXPECT_EQ(reader.feed(text + "X", step), text.size());
+			EXPECT_EQ(reader.r.state, HTTP_READER_COMPLETE)
+			    << testing::PrintToString(body) << " by " << step;
+			EXPECT_EQ(body_of(reader.r.msg), "abc");
+		}
+	}
+}
--- a/wire/http_syntax.c
+++ b/wire/http_syntax.c
@@ -49,6 +49,17 @@
 	}
 }
 
+/* Returns the value of a hexadecimal digit, or -1. */
+static int
+hex_value(unsigned char c)
+{
+	if (is_digit(c))
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+}
+
 /* Returns next if the byte is the wanted one. */
 static enum http_scan_state
 expect(unsigned char c, unsigned char want, enum http_scan_state next)
@@ -226,6 +237,88 @@
 	return expect(c, '\n', HTTP_SCAN_DONE);
 }
 
+/* Adds a digit to the chunk's size. */
+static enum http_scan_state
+add_size_digit(struct http_scan *s, unsigned char c)
+{
+	if (hex_value(c) < 0 || s->chunk_bytes > UINT64_MAX >> 4)
+		return HTTP_SCAN_INVALID;
+	s->chunk_bytes = s->chunk_bytes << 4 | (uint64_t)hex_value(c);
+	return HTTP_SCAN_CHUNK_SIZE;
+}
+
+static enum http_scan_state
+scan_chunks(struct http_scan *s, unsigned char c)
+{
+	s->chunk_bytes = 0;
+	return add_size_digit(s, c);
+}
+
+static enum http_scan_state
+scan_chunk_size(struct http_scan *s, unsigned char c)
+{
+	switch (c) {
+	case '\r':
+		return HTTP_SCAN_CHUNK_SIZE_END;
+	case ';':
+		return HTTP_SCAN_CHUNK_EXTENSION;
+	case ' ':
+	case '\t':
+		return HTTP_SCAN_CHUNK_SPACE;
+	default:
+		return add_size_digit(s, c);
+	}
+}
+
+/* White space may stand before an extension only. */
+static enum http_scan_state
+scan_chunk_space(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (c == ' ' || c == '\t')
+		return HTTP_SCAN_CHUNK_SPACE;
+	return expect(c, ';', HTTP_SCAN_CHUNK_EXTENSION);
+}
+
+static enum http_scan_state
+scan_chunk_extension(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	if (is_text(c))
+		return HTTP_SCAN_CHUNK_EXTENSION;
+	return expect(c, '\r', HTTP_SCAN_CHUNK_SIZE_END);
+}
+
+static enum http_scan_state
+scan_chunk_size_end(struct http_scan *s, unsigned char c)
+{
+	/* Trailers follow the last chunk, which is empty. */
+	return expect(c, '\n',
+	    s->chunk_bytes > 0 ? HTTP_SCAN_CHUNK_DATA : HTTP_SCAN_LINE_START);
+}
+
+static enum http_scan_state
+scan_chunk_data(struct http_scan *s, unsigned char c)
+{
+	(void)c;
+	return --s->chunk_bytes > 0 ? HTTP_SCAN_CHUNK_DATA
+				    : HTTP_SCAN_CHUNK_DATA_END;
+}
+
+static enum http_scan_state
+scan_chunk_data_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\r', HTTP_SCAN_CHUNK_END);
+}
+
+static enum http_scan_state
+scan_chunk_end(struct http_scan *s, unsigned char c)
+{
+	(void)s;
+	return expect(c, '\n', HTTP_SCAN_CHUNKS);
+}
+
 /* Each takes the next byte in a state and returns the state after it. */
 static enum http_scan_state (*const steps[])(
     struct http_scan *, unsigned char) = {
@@ -248,6 +341,14 @@
     [HTTP_SCAN_FIELD_NAME] = scan_field_name,
     [HTTP_SCAN_FIELD_VALUE] = scan_field_value,
     [HTTP_SCAN_FIELDS_END] = scan_fields_end,
+    [HTTP_SCAN_CHUNKS] = scan_chunks,
+    [HTTP_SCAN_CHUNK_SIZE] = scan_chunk_size,
+    [HTTP_SCAN_CHUNK_SPACE] = scan_chunk_space,
+    [HTTP_SCAN_CHUNK_EXTENSION] = scan_chunk_extension,
+    [HTTP_SCAN_CHUNK_SIZE_END] = scan_chunk_size_end,
+    [HTTP_SCAN_CHUNK_DATA] = scan_chunk_data,
+    [HTTP_SCAN_CHUNK_DATA_END] = scan_chunk_data_end,
+    [HTTP_SCAN_CHUNK_END] = scan_chunk_end,
 };
 
 void
@@ -255,6 +356,7 @@
 {
 	s->state = first;
 	s->matched = 0;
+	s->chunk_bytes = 0;
 }
 
 static bool
@@ -263,15 +365,34 @@
 	return s->state >= HTTP_SCAN_DONE;
 }
 
+/*
+ * Skips data of a chunk but for its last byte, which ends it.  Returns how many
+ * bytes were skipped.
+ */
+static size_t
+skip_chunk_data(struct http_scan *s, size_t len)
+{
+	uint64_t n = s->chunk_bytes - 1;
+
+	if (n > len)
+		n = len;
+	s->chunk_bytes -= n;
+	return (size_t)n;
+}
+
 size_t
 http_scan_feed(struct http_scan *s, const char *data, size_t len)
 {
-	size_t i;
+	size_t i = 0;
 
-	for (i = 0; i < len && !is_over(s); i++) {
-		s->state = steps[s->state](s, (unsigned char)data[i]);
-		if (s->state == HTTP_SCAN_INVALID)
+	while (i < len && !is_over(s)) {
+		if (s->state == HTTP_SCAN_CHUNK_DATA)
+			i += skip_chunk_data(s, len - i);
+		if (i == len)
 			break;
+		s->state = steps[s->state](s, (unsigned char)data[i]);
+		if (s->state != HTTP_SCAN_INVALID)
+			i++;
 	}
 	return i;
 }
--- a/wire/http_syntax.h
+++ b/wire/http_syntax.h
@@ -21,10 +21,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* The state after the last byte; a scan begins in one of the first two. */
+/* The state after the last byte; a scan begins in one of the first three. */
 enum http_scan_state {
 	HTTP_SCAN_REQUEST, /* the head of a request */
 	HTTP_SCAN_RESPONSE, /* the head of a response */
+	HTTP_SCAN_CHUNKS, /* a body in chunks, trailers included */
 	HTTP_SCAN_EMPTY_LINE_END,
 	HTTP_SCAN_METHOD,
 	HTTP_SCAN_TARGET_START,
@@ -42,6 +43,13 @@
 	HTTP_SCAN_FIELD_NAME,
 	HTTP_SCAN_FIELD_VALUE,
 	HTTP_SCAN_FIELDS_END,
+	HTTP_SCAN_CHUNK_SIZE,
+	HTTP_SCAN_CHUNK_SPACE,
+	HTTP_SCAN_CHUNK_EXTENSION,
+	HTTP_SCAN_CHUNK_SIZE_END,
+	HTTP_SCAN_CHUNK_DATA,
+	HTTP_SCAN_CHUNK_DATA_END,
+	HTTP_SCAN_CHUNK_END,
 	/* The states from here on are final. */
 	HTTP_SCAN_DONE,
 	HTTP_SCAN_INVALID,
@@ -50,6 +58,7 @@
 struct http_scan {
 	enum http_scan_state state;
 	unsigned int matched; /* bytes of the version, digits of the status */
+	uint64_t chunk_bytes; /* of the chunk's data that have not come yet */
 };
 
 /* Start to scan in the given state. */
