http_message: read values without the white space after them

White space after a value was taken for a part of it (RFC 9112, 5.1: it is none). A target that echoes "Request-Id: 7 " had its response dropped as the one to another request, and a caller's key with a blank after it was unknown.

Cause: the library passes the white space on, and the reader kept it.

Evidence: test-http-message AValueHasNoWhiteSpaceAroundIt failed before. AnInvalidLengthIsRefused (RFC 9112, 6.3, rule 5) passed before and stays.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -49,6 +49,19 @@
 	return 0;
 }
 
+/* End a header's value, which the white space after it is no part of. */
+static void
+terminate_value(struct http_reader *r)
+{
+	struct http_message *m = &r->msg;
+	uint32_t start = m->fields[m->nfields - 1].value_offset;
+
+	while (m->text_len > start && (m->text[m->text_len - 1] == ' ' ||
+					  m->text[m->text_len - 1] == '\t'))
+		m->text_len--;
+	text_terminate(m);
+}
+
 /* Add a NUL after the last text, such as the URL, unless it has one. */
 static void
 terminate_last_text(struct http_reader *r)
@@ -71,7 +84,7 @@
 			return -1;
 		/* An empty value has added no byte; it still needs its NUL. */
 		if (r->in_value)
-			text_terminate(m);
+			terminate_value(r);
 		else
 			terminate_last_text(r);
 		m->fields[m->nfields].name_offset = (uint32_t)m->text_len;
@@ -116,7 +129,10 @@
 	struct http_message *m = &r->msg;
 	const char *expect;
 
-	text_terminate(m);
+	if (r->in_value)
+		terminate_value(r);
+	else
+		text_terminate(m);
 	m->method = http_method_str(p->method);
 	m->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
 	r->state = HTTP_READER_BODY;
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -322,3 +322,51 @@
 		}
 	}
 }
+
+/* RFC 9112, 6.3, rule 5, and RFC 9110, 8.6 */
+TEST(HttpMessage, AnInvalidLengthIsRefused)
+{
+	for (const char *value :
+	    {"", " ", "3,3", "3, 3", "3 3", "+3", "-3", "0x3", "3.0", "3;",
+		"three", "18446744073709551616", "99999999999999999999999",
+		"3\r\nContent-Length: 3", "3\r\nContent-Length: 4",
+		"3\r\nContent-Length:", "\r\nContent-Length: 3"}) {
+		const std::string line =
+		    std::string("Content-Length: ") + value + "\r\n\r\nabc";
+		Reader request(HTTP_READ_REQUEST), response(HTTP_READ_RESPONSE);
+
+		request.feed("POST / HTTP/1.1\r\nHost: x\r\n" + line, 1000);
+		EXPECT_EQ(request.r.state, HTTP_READER_MALFORMED) << value;
+		response.feed("HTTP/1.1 200 OK\r\n" + line, 1000);
+		http_reader_eof(&response.r);
+		EXPECT_EQ(response.r.state, HTTP_READER_MALFORMED) << value;
+	}
+	for (const char *value : {"3", "3 ", "003", "\t3"}) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") +
+				value + "\r\n\r\nabc",
+		    1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_COMPLETE) << value;
+		EXPECT_EQ(body_of(reader.r.msg), "abc");
+	}
+}
+
+/* RFC 9112, 5.1 */
+TEST(HttpMessage, AValueHasNoWhiteSpaceAroundIt)
+{
+	const std::string text = "HTTP/1.1 200 OK\r\nA: \t b \tc \t \r\n"
+				 "B: \t \r\nC:c\r\nD:\r\n"
+				 "Content-Length: 0\r\n\r\n";
+
+	for (size_t step = 1; step <= text.size(); step++) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed(text, step);
+		ASSERT_EQ(reader.r.state, HTTP_READER_COMPLETE);
+		EXPECT_STREQ(http_message_field(&reader.r.msg, "A"), "b \tc");
+		EXPECT_STREQ(http_message_field(&reader.r.msg, "B"), "");
+		EXPECT_STREQ(http_message_field(&reader.r.msg, "C"), "c");
+		EXPECT_STREQ(http_message_field(&reader.r.msg, "D"), "");
+	}
+}
