http_message: refuse transfer codings other than "chunked"

A response with "Transfer-Encoding: gzip, chunked", or with a coding and no chunks, came to its caller as a success whose body was not the target's: the bytes stayed encoded, and the field that says so is not passed on. The same for requests with two codings.

Cause: the reader asked only whether the library had seen "chunked", and for responses not even that: a coding that the library does not know made the body one that ends with the connection.

A message now has at most one such field and its value is "chunked" (RFC 9112, 6.1 to 6.3); beside a length, or from HTTP/1.0, whose peers do not know chunks, it is refused as well.

Evidence: test-http-message OnlyAChunkedBodyIsDecoded and ChunksOfHttp10AreRefused failed before.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -122,6 +122,28 @@
 	       p->status_code == 204 || p->status_code == 304;
 }
 
+/* Whether a message's only transfer coding, if it has one, is "chunked". */
+static bool
+has_known_coding(const struct http_parser *p, const struct http_message *m)
+{
+	const char *coding = NULL;
+	int i;
+
+	for (i = 0; i < m->nfields; i++) {
+		if (strcasecmp(http_message_field_name(m, i),
+			"Transfer-Encoding") != 0)
+			continue;
+		if (coding != NULL)
+			return false;
+		coding = http_message_field_value(m, i);
+	}
+	if (coding == NULL)
+		return true;
+	/* HTTP/1.0 has no transfer codings (RFC 9112, 6.1). */
+	return p->http_minor > 0 && strcasecmp(coding, "chunked") == 0 &&
+	       (p->flags & F_CONTENTLENGTH) == 0;
+}
+
 static int
 on_headers_complete(struct http_parser *p)
 {
@@ -136,12 +158,11 @@
 	m->method = http_method_str(p->method);
 	m->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
 	r->state = HTTP_READER_BODY;
+	if (!has_known_coding(p, m))
+		return -1;
 	if (p->type == HTTP_REQUEST) {
 		if (p->upgrade)
 			p->upgrade = 0;
-		if (http_message_field(m, "Transfer-Encoding") != NULL &&
-		    (p->flags & F_CHUNKED) == 0)
-			return -1;
 		expect = http_message_field(m, "Expect");
 		m->expects_continue =
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -323,6 +323,69 @@
 	}
 }
 
+/*
+ * RFC 9112, 6.1 to 6.3.  A body whose coding is not undone is not the one that
+ * the target sent, as the field that names the coding is not passed on.
+ */
+TEST(HttpMessage, OnlyAChunkedBodyIsDecoded)
+{
+	const std::string chunks = "3\r\nabc\r\n0\r\n\r\n";
+
+	for (const char *lines : {"Transfer-Encoding: gzip, chunked\r\n",
+		 "Transfer-Encoding: gzip\r\n",
+		 "Transfer-Encoding: identity\r\n",
+		 "Transfer-Encoding: chunked, chunked\r\n",
+		 "Transfer-Encoding: chunked, gzip\r\n",
+		 "Transfer-Encoding: chunked;a=b\r\n",
+		 "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		 "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+		 "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+		 "Transfer-Encoding:\r\n", "Transfer-Encoding: \"chunked\"\r\n",
+		 "Transfer-Encoding: xchunked\r\n",
+		 "Transfer-Encoding: chunkedx\r\n",
+		 "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		 "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+		 "Content-Length: 3\r\nTransfer-Encoding: gzip\r\n",
+		 "Transfer-Encoding: identity\r\nContent-Length: 3\r\n"}) {
+		Reader request(HTTP_READ_REQUEST), response(HTTP_READ_RESPONSE);
+
+		request.feed("POST / HTTP/1.1\r\nHost: x\r\n" +
+				 std::string(lines) + "\r\n" + chunks,
+		    1000);
+		EXPECT_EQ(request.r.state, HTTP_READER_MALFORMED) << lines;
+		response.feed("HTTP/1.1 200 OK\r\n" + std::string(lines) +
+				  "\r\n" + chunks,
+		    1000);
+		http_reader_eof(&response.r);
+		EXPECT_EQ(response.r.state, HTTP_READER_MALFORMED) << lines;
+	}
+	for (const char *value : {"chunked", "Chunked", "\tCHUNKED "}) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed(
+		    std::string("HTTP/1.1 200 OK\r\ntransfer-encoding:") +
+			value + "\r\n\r\n" + chunks,
+		    1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_COMPLETE) << value;
+		EXPECT_EQ(body_of(reader.r.msg), "abc");
+	}
+}
+
+/* RFC 9112, 6.1: its sender may not know chunks, so its framing is faulty. */
+TEST(HttpMessage, ChunksOfHttp10AreRefused)
+{
+	Reader request(HTTP_READ_REQUEST), response(HTTP_READ_RESPONSE);
+
+	request.feed("POST / HTTP/1.0\r\nHost: x\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    1000);
+	EXPECT_EQ(request.r.state, HTTP_READER_MALFORMED);
+	response.feed("HTTP/1.0 200 OK\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    1000);
+	EXPECT_EQ(response.r.state, HTTP_READER_MALFORMED);
+}
+
 /* RFC 9112, 6.3, rule 5, and RFC 9110, 8.6 */
 TEST(HttpMessage, AnInvalidLengthIsRefused)
 {
