http_message: read no body after 1xx, 204 and 304

A 304 whose Content-Length is that of the page it stands for, as RFC 9110, 8.6 allows, never ended: the caller got 504 at its deadline, or, where the target sent more on the connection, these bytes as the body. An interim response with a length swallowed the head of the final one.

Cause: the library reads a body wherever a length or chunks are named; the reader told it otherwise for HEAD only.

These responses now end with their heads, whatever the headers say (RFC 9112, 6.3, rule 1).

Evidence: test-http-message SomeStatusesHaveNoBody failed before, for a length and for chunks with each of the four statuses.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -5,6 +5,8 @@
 #include "daemon/http_message.h"
 
 #define INITIAL_TEXT_BYTES 1024 /* first allocation for a message's text */
+/* Tells the library at the end of the head that there is no body. */
+#define SKIP_BODY 1
 
 /* Enlarge an allocation to at least want bytes by doubling its capacity. */
 static void
@@ -113,13 +115,22 @@
 	return 0;
 }
 
+/*
+ * Whether a response ends with its head, whatever its headers say (RFC 9112,
+ * 6.3).
+ */
+static bool
+has_no_body(const struct http_parser *p, const struct http_reader *r)
+{
+	return r->no_body || p->status_code < 200 || p->status_code == 204 ||
+	       p->status_code == 304;
+}
+
 /* Whether a response's body ends before its connection does. */
 static bool
 has_known_length(const struct http_parser *p)
 {
-	return (p->flags & F_CHUNKED) != 0 ||
-	       (p->flags & F_CONTENTLENGTH) != 0 || p->status_code < 200 ||
-	       p->status_code == 204 || p->status_code == 304;
+	return (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 }
 
 /* Whether a message's only transfer coding, if it has one, is "chunked". */
@@ -166,12 +177,14 @@
 		expect = http_message_field(m, "Expect");
 		m->expects_continue =
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
-	} else {
-		if (!http_is_status(p->status_code))
-			return -1;
-		m->until_close = !r->no_body && !has_known_length(p);
+		return 0;
 	}
-	return r->no_body ? 1 : 0;
+	if (!http_is_status(p->status_code))
+		return -1;
+	if (has_no_body(p, r))
+		return SKIP_BODY;
+	m->until_close = !has_known_length(p);
+	return 0;
 }
 
 static int
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -323,6 +323,33 @@
 	}
 }
 
+/*
+ * RFC 9112, 6.3, rule 1.  Guards against a 304 whose length is that of another
+ * response and that swallows the response after it, and against interim
+ * responses that do.
+ */
+TEST(HttpMessage, SomeStatusesHaveNoBody)
+{
+	for (const char *status : {"100", "103", "204", "304"}) {
+		for (const char *line : {"", "Content-Length: 3\r\n",
+			 "Transfer-Encoding: chunked\r\n"}) {
+			const std::string text = std::string("HTTP/1.1 ") +
+						 status + " OK\r\n" + line +
+						 "\r\n";
+			Reader reader(HTTP_READ_RESPONSE);
+
+			EXPECT_EQ(
+			    reader.feed(text + "HTTP/1.1 200 OK\r\n", 1000),
+			    text.size())
+			    << text;
+			EXPECT_EQ(reader.r.state, HTTP_READER_COMPLETE) << text;
+			EXPECT_EQ(reader.r.msg.body_len, 0u);
+			EXPECT_TRUE(reader.r.msg.keep_alive) << text;
+			EXPECT_FALSE(reader.r.msg.until_close) << text;
+		}
+	}
+}
+
 /*
  * RFC 9112, 6.1 to 6.3.  A body whose coding is not undone is not the one that
  * the target sent, as the field that names the coding is not passed on.
