http_message: refuse a switch of protocols

A target's 101 was skipped like an interim response, and what came after it on the connection was read as HTTP: the bytes of another protocol could become an answer. No request asks for a switch, as "Upgrade" is not passed on, so that a server must not send 101 (RFC 9110, 7.8 and 15.2.2); such a response is broken now.

Cause: http_client takes each status of 100 to 199 for interim, and the library ends an upgrade only where "Upgrade" is there too.

Evidence: test-http-message ASwitchOfProtocolsIsRefused failed before for a 101 without "Upgrade".

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -5,6 +5,8 @@
 #include "daemon/http_message.h"
 
 #define INITIAL_TEXT_BYTES 1024 /* first allocation for a message's text */
+/* No request asks for another protocol. */
+#define STATUS_SWITCHING_PROTOCOLS 101
 /* Tells the library at the end of the head that there is no body. */
 #define SKIP_BODY 1
 
@@ -179,7 +181,8 @@
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
 		return 0;
 	}
-	if (!http_is_status(p->status_code))
+	if (!http_is_status(p->status_code) ||
+	    p->status_code == STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (has_no_body(p, r))
 		return SKIP_BODY;
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -442,6 +442,23 @@
 	}
 }
 
+/*
+ * RFC 9110, 15.2.2: what follows it on the connection is another protocol,
+ * which no request has asked for.
+ */
+TEST(HttpMessage, ASwitchOfProtocolsIsRefused)
+{
+	for (const char *lines :
+	    {"", "Connection: upgrade\r\nUpgrade: x\r\n"}) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed("HTTP/1.1 101 Switching Protocols\r\n" +
+				std::string(lines) + "\r\n",
+		    1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_MALFORMED) << lines;
+	}
+}
+
 /* RFC 9112, 5.1 */
 TEST(HttpMessage, AValueHasNoWhiteSpaceAroundIt)
 {
