http_message: refuse a request with two hosts

The first of two Host lines chose the route, while another parser on the way may take the second (RFC 9112, 3.2 asks for 400).

Evidence: test-http-message ARequestHasOneHost failed before.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -135,23 +135,27 @@
 	return (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 }
 
+/* How many header lines with that name there are. */
+static int
+count_fields(const struct http_message *m, const char *name)
+{
+	int i, n = 0;
+
+	for (i = 0; i < m->nfields; i++)
+		n += strcasecmp(http_message_field_name(m, i), name) == 0;
+	return n;
+}
+
 /* Whether a message's only transfer coding, if it has one, is "chunked". */
 static bool
 has_known_coding(const struct http_parser *p, const struct http_message *m)
 {
-	const char *coding = NULL;
-	int i;
+	const char *coding = http_message_field(m, "Transfer-Encoding");
 
-	for (i = 0; i < m->nfields; i++) {
-		if (strcasecmp(http_message_field_name(m, i),
-			"Transfer-Encoding") != 0)
-			continue;
-		if (coding != NULL)
-			return false;
-		coding = http_message_field_value(m, i);
-	}
 	if (coding == NULL)
 		return true;
+	if (count_fields(m, "Transfer-Encoding") > 1)
+		return false;
 	/* HTTP/1.0 has no transfer codings (RFC 9112, 6.1). */
 	return p->http_minor > 0 && strcasecmp(coding, "chunked") == 0 &&
 	       (p->flags & F_CONTENTLENGTH) == 0;
@@ -174,8 +178,9 @@
 	if (!has_known_coding(p, m))
 		return -1;
 	if (p->type == HTTP_REQUEST) {
-		if (p->upgrade)
-			p->upgrade = 0;
+		p->upgrade = 0;
+		if (count_fields(m, "Host") > 1)
+			return -1;
 		expect = http_message_field(m, "Expect");
 		m->expects_continue =
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -477,3 +477,16 @@
 		EXPECT_STREQ(http_message_field(&reader.r.msg, "D"), "");
 	}
 }
+
+/* RFC 9112, 3.2: parsers may disagree on which of two hosts counts. */
+TEST(HttpMessage, ARequestHasOneHost)
+{
+	for (const char *lines :
+	    {"Host: x\r\nHost: x\r\n", "Host: x\r\nA: b\r\nhost: y\r\n"}) {
+		Reader reader(HTTP_READ_REQUEST);
+
+		reader.feed(
+		    "GET / HTTP/1.1\r\n" + std::string(lines) + "\r\n", 1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_MALFORMED) << lines;
+	}
+}
