dialect: drop the headers that Connection names

Fields for one connection came to callers, and to targets, where a Connection field named them and the list of known ones did not hold them (RFC 9110, 7.6.1: an intermediary must remove them).

The rule is applied where headers are copied, in both directions. A success whose signature is named so is a failure: without the signature its caller would not know it for the target's.

Evidence: test-platform-dialect DropsTheHeadersThatConnectionNames failed before, and so did the new case of AnUntrustedResponseIsAFailureThatMayHaveRun.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -71,7 +71,8 @@
 
 /*
  * Replace the content of the buffer by the message's headers for which
- * is_forwarded() returns true, as "Name: value\r\n" lines.
+ * is_forwarded() returns true and that are not for one connection only, as
+ * "Name: value\r\n" lines.
  */
 void dialect_copy_headers(const struct http_message *,
     bool (*is_forwarded)(const char *name, const char *value), struct buffer *);
@@ -87,6 +88,9 @@
  * Keep-Alive, and must not be forwarded.
  */
 bool dialect_is_hop_by_hop(const char *name);
+/* Whether the message's Connection header says so of headers with this name. */
+bool dialect_is_connection_option(
+    const struct http_message *, const char *name);
 /*
  * The credentials within an Authorization value, such as KEY in "Bearer KEY".
  * NULL if value is NULL, has another scheme or holds no credentials.
--- a/t/test-platform-dialect.cc
+++ b/t/test-platform-dialect.cc
@@ -113,6 +113,23 @@
 	EXPECT_EQ(c.headers(), "X-Other: v\r\n");
 }
 
+/* RFC 9110, 7.6.1: fields that Connection names are for one connection. */
+TEST(PlatformDialect, DropsTheHeadersThatConnectionNames)
+{
+	const std::string lines =
+	    "Connection: close, x-hop,\tX-Leap\r\nX-Hop: a\r\n"
+	    "Connection: , x-jump\r\nX-LEAP: b\r\nX-Jump: c\r\n"
+	    "X-Ho: d\r\nX-Hop-2: e\r\n";
+	Call c(lines);
+	Response response(
+	    response_text(200, lines + "Response-Signature: s\r\n", ""));
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_EQ(c.headers(), "X-Ho: d\r\nX-Hop-2: e\r\n");
+	EXPECT_EQ(std::string(response.r.headers.data, response.r.headers.len),
+	    "X-Ho: d\r\nX-Hop-2: e\r\nResponse-Signature: s\r\n");
+}
+
 TEST(PlatformDialect, AMalformedDeadlineIsIgnored)
 {
 	Call c("Deadline-Ms: soon\r\n");
@@ -219,6 +236,11 @@
 	    response_text(200, "", "bytes"),
 	    response_text(200,
 		"Response-Signature: s\r\nContent-Encoding: gzip\r\n", "x"),
+	    /* The signature would not be passed on. */
+	    response_text(200,
+		"Response-Signature: s\r\n"
+		"Connection: response-signature\r\n",
+		"x"),
 	    response_text(503, "", ""),
 	    response_text(429, "", ""),
 	    response_text(408, "", ""),
