http_server: state no length where there is no body

Callers of HEAD got "Content-Length: 0" for a page of any length, and so did those that got 304; with 204 no length is allowed at all (RFC 9110, 8.6). The target's own length is a field of its connection and was replaced by that of the body, of which there is none.

No length is written now where the response ends with its head.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -262,21 +262,33 @@
 	buffer_release(&unparsed);
 }
 
+/* Whether a response ends with its head (RFC 9112, 6.3). */
+static bool
+has_no_body(const struct http_exchange *ex, int status)
+{
+	return status == 204 || status == 304 ||
+	       (ex->request.method != NULL &&
+		   strcmp(ex->request.method, "HEAD") == 0);
+}
+
 void
 http_exchange_respond(
     struct http_exchange *ex, const struct http_response *resp)
 {
+	bool no_body = has_no_body(ex, resp->status);
 	struct http_conn *c = ex->conn;
-	char head[RESPONSE_HEAD_BYTES];
+	char head[RESPONSE_HEAD_BYTES], length[64] = "";
 	int len;
 
 	if (resp->close || c->server->draining)
 		ex->closes_conn = true;
 	if (ex->closes_conn)
 		conn_begin_close(c);
-	len = snprintf(head, sizeof(head),
-	    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s", resp->status,
-	    http_status_text(resp->status), resp->body_len,
+	if (!no_body)
+		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+		    resp->body_len);
+	len = snprintf(head, sizeof(head), "HTTP/1.1 %d %s\r\n%s%s",
+	    resp->status, http_status_text(resp->status), length,
 	    ex->closes_conn ? "Connection: close\r\n" : "");
 	ex->response = evbuffer_new();
 	if (ex->response == NULL)
@@ -285,8 +297,7 @@
 	if (resp->headers_len > 0)
 		evbuffer_add(ex->response, resp->headers, resp->headers_len);
 	evbuffer_add(ex->response, "\r\n", 2);
-	if (resp->body_len > 0 && (ex->request.method == NULL ||
-				      strcmp(ex->request.method, "HEAD") != 0))
+	if (resp->body_len > 0 && !no_body)
 		evbuffer_add(ex->response, resp->body, resp->body_len);
 	conn_send_responses(c);
 	conn_resume_reading(c);
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -174,11 +174,12 @@
 		return run_until([&] { return exchanges.size() >= n; });
 	}
 	void
-	respond(size_t i, const std::string &body, bool close = false)
+	respond(size_t i, const std::string &body, bool close = false,
+	    int status = 200)
 	{
 		struct http_response response = {};
 
-		response.status = 200;
+		response.status = status;
 		response.body = body.data();
 		response.body_len = body.size();
 		response.close = close;
@@ -210,6 +211,46 @@
 	EXPECT_EQ(disconnects, 0);
 }
 
+/*
+ * RFC 9110, 8.6: a length of 0 would be wrong, as it is the length of what GET
+ * brings, or is not allowed at all.
+ */
+TEST_F(Server, AResponseThatHasNoBodyStatesNoLength)
+{
+	const struct {
+		const char *method;
+		int status;
+		const char *body, *length;
+	} cases[] = {
+	    {"HEAD", 200, "one", nullptr},
+	    {"HEAD", 404, "", nullptr},
+	    {"GET", 204, "", nullptr},
+	    {"GET", 304, "", nullptr},
+	    {"GET", 200, "", "0"},
+	    {"GET", 404, "one", "3"},
+	};
+	int fd = connect_to_server();
+
+	for (const auto &c : cases) {
+		const std::string length =
+		    c.length != nullptr
+			? std::string("Content-Length: ") + c.length + "\r\n"
+			: "";
+		std::string got;
+
+		send_text(fd,
+		    std::string(c.method) + " /x HTTP/1.1\r\nHost: x\r\n\r\n");
+		ASSERT_TRUE(await_requests(exchanges.size() + 1));
+		respond(exchanges.size() - 1, c.body, false, c.status);
+		got = receive(
+		    fd, length + "\r\n" + (c.length != nullptr ? c.body : ""));
+		EXPECT_EQ(
+		    got.find("Content-Length") != got.npos, c.length != nullptr)
+		    << got;
+		EXPECT_NE(got.find(length), got.npos) << got;
+	}
+}
+
 TEST_F(Server, NoRequestIsReadAfterConnectionClose)
 {
 	int fd = connect_to_server();
