frame: take no reply of a peer for a response that is none

A reply of another daemon with the status 0, or with header lines of any form, went to the caller as it was; a daemon of an earlier version sends such replies for what its target answers.

Cause: the decoder bounded the status by 999 only and copied the block of header lines unseen.

A reply that gives no reason for a failure has to hold a final status and whole field lines (RFC 9110, 15 and RFC 9112, 5). If it does not, it becomes a failure of a call that may have run. The link stays open: other calls use it, and a frame with a wrong answer in it is still a frame. A leaving daemon's answers that are none are not kept; the record that the call ran is.

Evidence: test-frame AReplyThatIsNoResponseIsAFailure and OnlyAResponseIsHandedOver failed before.

--- a/t/test-frame.cc
+++ b/t/test-frame.cc
@@ -155,6 +155,87 @@
 	}
 }
 
+namespace {
+
+/* A reply with a target's response, encoded and decoded. */
+struct msg *
+decoded_response(int status, const std::string &headers)
+{
+	struct msg *m = msg_create(MSG_REPLY), *decoded;
+
+	m->u.reply.status = status;
+	m->u.reply.may_have_reached_target = true;
+	m->u.reply.load_permille = 5;
+	buffer_set(&m->u.reply.headers, headers.data(), headers.size());
+	buffer_set(&m->u.reply.body, "whole", 5);
+	decoded = decode(encode(m));
+	msg_destroy(m);
+	return decoded;
+}
+
+} // namespace
+
+/*
+ * Guards against a peer, such as one of an earlier version, that passes on what
+ * is no response.  Other calls use the same link, so it stays open.
+ */
+TEST(Frame, AReplyThatIsNoResponseIsAFailure)
+{
+	const struct {
+		int status;
+		std::string headers;
+	} bad[] = {{0, ""}, {100, ""}, {199, ""}, {600, ""}, {999, ""},
+	    {200, "A b: c\r\n"}, {200, "A\001: c\r\n"}, {200, ": c\r\n"},
+	    {200, "A: \001\r\n"}, {200, "A: b\r\n c\r\n"}, {200, "A: b\n"},
+	    {200, "A: b"}, {200, "A: b\r\n\r\n"}, {200, "\r\n"}, {200, "A\r\n"},
+	    {200, "A: b\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	    {200, std::string("A: \0\r\n", 6)}};
+
+	for (const auto &b : bad) {
+		struct msg *m = decoded_response(b.status, b.headers);
+		const struct reply *r;
+
+		ASSERT_NE(m, nullptr);
+		r = &m->u.reply;
+		EXPECT_EQ(r->status, 0) << b.status << b.headers;
+		EXPECT_EQ(r->failure.verdict, VERDICT_MAY_HAVE_RUN);
+		EXPECT_EQ(r->failure.reason, REASON_TARGET_FAILED);
+		EXPECT_EQ(r->headers.len, 0u);
+		EXPECT_EQ(r->body.len, 0u);
+		EXPECT_TRUE(r->may_have_reached_target);
+		EXPECT_EQ(r->load_permille, 5u);
+		msg_destroy(m);
+	}
+	for (const char *headers :
+	    {"", "A: b\r\n", "A:\r\nB: \xc3\xa4 c\r\n"}) {
+		for (int status : {200, 204, 404, 500, 599}) {
+			struct msg *m = decoded_response(status, headers);
+
+			ASSERT_NE(m, nullptr);
+			EXPECT_EQ(m->u.reply.status, status);
+			EXPECT_EQ(m->u.reply.failure.reason, REASON_NONE);
+			EXPECT_EQ(m->u.reply.body.len, 5u);
+			msg_destroy(m);
+		}
+	}
+}
+
+/* An answer that a leaving daemon hands over is not kept if it is none. */
+TEST(Frame, OnlyAResponseIsHandedOver)
+{
+	for (int status : {0, 200}) {
+		struct msg *m = msg_create(MSG_HANDOVER), *decoded;
+
+		m->u.handover.has_reply = true;
+		m->u.handover.reply.status = status;
+		decoded = decode(encode(m));
+		ASSERT_NE(decoded, nullptr);
+		EXPECT_EQ(decoded->u.handover.has_reply, status == 200);
+		msg_destroy(decoded);
+		msg_destroy(m);
+	}
+}
+
 TEST(Frame, HandshakeHelloRoundTrips)
 {
 	struct handshake h = {}, decoded;
--- a/t/test-http-syntax.cc
+++ b/t/test-http-syntax.cc
@@ -2,6 +2,7 @@
  * Tests of the HTTP syntax against the clauses of RFC 9110 and RFC 9112 that
  * the texts name.
  */
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -99,6 +100,19 @@
 	    HTTP_SCAN_LINE_START);
 }
 
+TEST(HttpSyntax, KnowsABlockOfFieldLines)
+{
+	const char *const good[] = {"", "A: b\r\n", "A:b\r\nC:\r\n"};
+	const char *const bad[] = {"A: b", "A: b\r", "A: b\n", "A", "\r\n",
+	    "A: b\r\n\r\n", " A: b\r\n", "A: b\r\n c\r\n", "A : b\r\n"};
+
+	for (const char *text : good)
+		EXPECT_TRUE(http_are_field_lines(text, strlen(text))) << text;
+	for (const char *text : bad)
+		EXPECT_FALSE(http_are_field_lines(text, strlen(text))) << text;
+	EXPECT_TRUE(http_are_field_lines(nullptr, 0));
+}
+
 /* RFC 9110, 15 */
 TEST(HttpSyntax, StatusCodesHaveARange)
 {
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "wire/frame.h"
+#include "wire/http_syntax.h"
 #include "wire/link.pb-c.h"
 
 /* Calls that wait for a token, or tokens for them, of one organisation. */
@@ -88,6 +89,32 @@
 	return true;
 }
 
+/* Whether a reply is a response that a target can have sent. */
+static bool
+is_response(const struct reply *r)
+{
+	return r->failure.reason == REASON_NONE &&
+	       http_is_final_status((uint64_t)r->status) &&
+	       http_are_field_lines(r->headers.data, r->headers.len);
+}
+
+/*
+ * A reply that is neither a failure nor a response becomes a failure.  The link
+ * is not closed for it, as other calls use it.
+ */
+static bool
+decode_answer(struct reply *r, const Link__Reply *p)
+{
+	if (!decode_reply(r, p))
+		return false;
+	if (r->failure.reason != REASON_NONE || is_response(r))
+		return true;
+	reply_fail(r, failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED));
+	buffer_release(&r->headers);
+	buffer_release(&r->body);
+	return true;
+}
+
 static bool
 decode_fate(struct fate *f, const Link__Fate *p)
 {
@@ -155,11 +182,12 @@
 static bool
 decode_handover(struct handover *h, const Link__Handover *p)
 {
+	if (!decode_reply(&h->reply, p->reply))
+		return false;
 	h->last = p->last;
-	h->has_reply = p->kept;
+	h->has_reply = p->kept && is_response(&h->reply);
 	h->may_have_run = p->doubt;
-	return decode_reply(&h->reply, p->reply) &&
-	       copy_string(h->service, sizeof(h->service), p->service) &&
+	return copy_string(h->service, sizeof(h->service), p->service) &&
 	       copy_string(h->org, sizeof(h->org), p->org) &&
 	       copy_string(h->id, sizeof(h->id), p->id);
 }
@@ -269,7 +297,7 @@
 	case LINK__FRAME__BODY_FORWARD:
 		return decode_forward(&m->u.forward, f->forward);
 	case LINK__FRAME__BODY_REPLY:
-		return decode_reply(&m->u.reply, f->reply);
+		return decode_answer(&m->u.reply, f->reply);
 	case LINK__FRAME__BODY_CANCEL:
 		m->queued_only = f->cancel->queued_only;
 		return true;
--- a/wire/http_syntax.c
+++ b/wire/http_syntax.c
@@ -397,6 +397,16 @@
 	return i;
 }
 
+bool
+http_are_field_lines(const char *text, size_t len)
+{
+	struct http_scan s;
+
+	http_scan_init(&s, HTTP_SCAN_LINE_START);
+	return http_scan_feed(&s, text, len) == len &&
+	       s.state == HTTP_SCAN_LINE_START;
+}
+
 bool
 http_is_status(uint64_t n)
 {
--- a/wire/http_syntax.h
+++ b/wire/http_syntax.h
@@ -69,6 +69,11 @@
  */
 size_t http_scan_feed(struct http_scan *, const char *, size_t);
 
+/*
+ * Whether a text consists of whole field lines, such as "Name: value\r\n", and
+ * nothing else.  An empty text does.
+ */
+bool http_are_field_lines(const char *, size_t);
 /* Whether a number is a status code, one of 100 to 599 (RFC 9110, 15). */
 bool http_is_status(uint64_t);
 /* The same for a final one, which ends a request. */
