http_client: bound the memory of responses that never end

A target that answered 200 requests at once with bodies without end made the daemon beside it hold 754 MB; a host has 260 MB for it in the users' deployments, and the calls of all its callers would end with it.

Cause: each response was bounded (max-body-bytes, 3 MB there), but not their sum, and a target has some hundreds of slots.

Responses that are not complete yet are now counted with the memory they take.

--- a/config/settings.h
+++ b/config/settings.h
@@ -57,6 +57,8 @@
 	uint64_t max_ledger_reply_bytes; /* responses kept in the ledger */
 	uint64_t max_header_bytes; /* of one request or response */
 	uint64_t max_body_bytes; /* of one request or response */
+	/* Of the target's responses that are not complete yet, together. */
+	uint64_t max_partial_bytes;
 	uint64_t default_deadline_ms; /* of a call that states none */
 	uint64_t max_deadline_ms; /* of any call */
 	/* A caller's connection is closed after being idle for this time. */
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -6,6 +6,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/http_client.h"
+#include "daemon/log.h"
 #include "daemon/stream.h"
 
 /* Between checks for idle connections that have expired. */
@@ -40,6 +41,7 @@
 	struct http_call *call; /* NULL while the connection is idle */
 	uint64_t idle_until_us; /* an idle connection is closed then */
 	unsigned int unrelated; /* messages dropped during the call */
+	size_t partial_bytes; /* memory of the response being read */
 	/* stream_bytes_sent() when the request started. */
 	uint64_t sent_bytes_at_start;
 	bool connected;
@@ -56,9 +58,17 @@
 	struct conn_queue busy;
 	struct conn_queue idle; /* most recently used first */
 	size_t nidle;
+	size_t partial_bytes; /* of all connections */
 	struct event *sweep;
 };
 
+static void
+conn_count_partial(struct client_conn *c, size_t bytes)
+{
+	c->client->partial_bytes += bytes - c->partial_bytes;
+	c->partial_bytes = bytes;
+}
+
 static void
 conn_free(struct client_conn *c)
 {
@@ -70,6 +80,7 @@
 		TAILQ_REMOVE(&cl->idle, c, entry);
 		cl->nidle--;
 	}
+	conn_count_partial(c, 0);
 	http_reader_release(&c->reader);
 	stream_destroy(c->stream);
 	free(c);
@@ -148,6 +159,7 @@
 	uint64_t lifetime_us;
 
 	http_message_move(&msg, &c->reader.msg);
+	conn_count_partial(c, 0);
 	lifetime_us = idle_lifetime_us(c, &msg);
 	if (c->not_reusable || !msg.keep_alive || lifetime_us == 0 ||
 	    stream_bytes_pending(c->stream) > 0 ||
@@ -189,6 +201,25 @@
 	return true;
 }
 
+/* End the call whose response takes most, if all take too much memory. */
+static void
+limit_partial_bytes(struct http_client *cl)
+{
+	struct client_conn *c, *largest = NULL;
+
+	if (cl->partial_bytes <= cl->settings.max_partial_bytes)
+		return;
+	TAILQ_FOREACH (c, &cl->busy, entry) {
+		if (largest == NULL ||
+		    c->partial_bytes > largest->partial_bytes)
+			largest = c;
+	}
+	log_line(LOG_WARNING, "responses-too-long",
+	    "bytes=%zu limit=%zu largest=%zu", cl->partial_bytes,
+	    cl->settings.max_partial_bytes, largest->partial_bytes);
+	call_fail(largest, HTTP_BROKEN);
+}
+
 static void
 on_read(void *owner, const char *data, size_t len)
 {
@@ -208,8 +239,12 @@
 			call_fail(c, HTTP_BROKEN);
 			return;
 		}
-		if (c->reader.state != HTTP_READER_COMPLETE)
+		if (c->reader.state != HTTP_READER_COMPLETE) {
+			conn_count_partial(
+			    c, http_message_memory(&c->reader.msg));
+			limit_partial_bytes(c->client);
 			return;
+		}
 		if (skip_unrelated(c)) {
 			if (c->unrelated <= MAX_UNRELATED_MESSAGES)
 				continue;
@@ -360,6 +395,12 @@
 	call_free(call);
 }
 
+size_t
+http_client_partial_bytes(const struct http_client *cl)
+{
+	return cl->partial_bytes;
+}
+
 void
 http_client_close_idle(struct http_client *cl)
 {
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -29,6 +29,12 @@
 	 * Keep-Alive header says so.
 	 */
 	uint64_t idle_timeout_us;
+	/*
+	 * Memory in bytes for responses that are not complete yet, on all
+	 * connections together.  Above it the call whose response takes most
+	 * ends as HTTP_BROKEN, for the peer may send without end.
+	 */
+	size_t max_partial_bytes;
 };
 
 /* A request to send; http_client_send() copies what it needs. */
@@ -61,7 +67,7 @@
 
 enum http_outcome {
 	HTTP_RESPONSE_RECEIVED, /* a complete response was received */
-	/* The connection ended early, or the response is malformed. */
+	/* The connection ended early, or the response is malformed or long. */
 	HTTP_BROKEN,
 	HTTP_TIMED_OUT, /* timeout_us passed */
 	HTTP_NOT_CONNECTED, /* the connection could not be established */
@@ -91,6 +97,8 @@
     void (*done)(void *arg, const struct http_result *), void *arg);
 /* Close the call's connection; done is not called. */
 void http_call_cancel(struct http_call *);
+/* Memory in bytes that responses which are not complete yet take. */
+size_t http_client_partial_bytes(const struct http_client *);
 /* Close the idle connections, for example when the peer was replaced. */
 void http_client_close_idle(struct http_client *);
 
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -358,6 +358,12 @@
 	r->in_value = false;
 }
 
+size_t
+http_message_memory(const struct http_message *m)
+{
+	return m->text_cap + m->body_cap;
+}
+
 const char *
 http_message_field_name(const struct http_message *m, int i)
 {
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -99,6 +99,8 @@
 /* Release the message and start with the next one of the connection. */
 void http_reader_next(struct http_reader *);
 
+/* Memory in bytes that a message takes. */
+size_t http_message_memory(const struct http_message *);
 /* The value of the first header with that name in any case, or NULL. */
 const char *http_message_field(const struct http_message *, const char *name);
 /* Name and value of header i, from 0 to nfields - 1. */
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -14,6 +14,8 @@
 #include "daemon/rows.h"
 
 #define MAX_RESPONSE_BYTES (4 << 20) /* body of a response */
+/* Memory for responses that are not complete, of all requests together. */
+#define MAX_PARTIAL_BYTES (16 << 20)
 #define MAX_PAGES 200 /* of one read; a row in further ones is not seen */
 #define MAX_HEADER_BYTES 16384 /* status line and headers of a response */
 #define MAX_IDLE_CONNECTIONS 4 /* kept open without a request */
@@ -125,6 +127,7 @@
 	    .limits = {MAX_HEADER_BYTES, MAX_RESPONSE_BYTES},
 	    .max_idle_connections = MAX_IDLE_CONNECTIONS,
 	    .idle_timeout_us = IDLE_TIMEOUT_US,
+	    .max_partial_bytes = MAX_PARTIAL_BYTES,
 	};
 	struct row_query *q;
 
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -183,6 +183,7 @@
 	set.limits.body_bytes = t->daemon->settings->max_body_bytes;
 	set.max_idle_connections = t->daemon->settings->max_idle_connections;
 	set.idle_timeout_us = IDLE_TIMEOUT_US;
+	set.max_partial_bytes = t->daemon->settings->max_partial_bytes;
 	t->addr = at;
 	t->http = http_client_create(t->daemon->base, at, &set);
 }
--- a/t/standin-target.c
+++ b/t/standin-target.c
@@ -17,6 +17,7 @@
  *		shed		refuse calls as not run
  *		truncate	send less than the stated Content-Length
  *		endless		send part of a body without a length
+ *		flood		send a body that never ends
  *		raw		send the bytes of the parameter "text" as the
  *				response
  *		crash		exit after the next call has run, before its
@@ -54,10 +55,11 @@
 	MODE_CRASH,
 	MODE_ENDLESS,
 	MODE_RAW,
+	MODE_FLOOD,
 };
 
 static const char *const mode_names[] = {"ok", "slow", "cold", "draining",
-    "shed", "truncate", "crash", "endless", "raw"};
+    "shed", "truncate", "crash", "endless", "raw", "flood"};
 
 /* A call that runs, or that waits for a slot. */
 struct call {
@@ -198,6 +200,28 @@
 	evbuffer_free(buf);
 }
 
+/* Send more of a body without end, until the daemon closes. */
+static void
+send_flood(struct evhttp_connection *conn, void *arg)
+{
+	static const char bytes[65536];
+	struct evbuffer *buf = evbuffer_new();
+	struct evhttp_request *req = arg;
+
+	(void)conn;
+	evbuffer_add(buf, bytes, sizeof(bytes));
+	evhttp_send_reply_chunk_with_cb(req, buf, send_flood, req);
+	evbuffer_free(buf);
+}
+
+static void
+call_reply_flood(struct call *c)
+{
+	c->req->minor = 0; /* HTTP/1.0: no length, no chunks */
+	evhttp_send_reply_start(c->req, 200, "OK");
+	send_flood(NULL, c->req);
+}
+
 /* Send bytes as they are; the request ends when the daemon closes. */
 static void
 call_reply_raw(struct call *c, const char *text)
@@ -222,6 +246,8 @@
 		evhttp_request_free(c->req);
 	else if (t->mode == MODE_TRUNCATE || t->mode == MODE_ENDLESS)
 		call_reply_truncated(c, t->mode == MODE_TRUNCATE);
+	else if (t->mode == MODE_FLOOD)
+		call_reply_flood(c);
 	else if (t->mode == MODE_RAW)
 		call_reply_raw(c, t->raw_text);
 	else
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -405,11 +405,13 @@
 namespace {
 
 struct Client : public Loop {
+	static constexpr size_t MAX_PARTIAL_BYTES = 1 << 20;
+
 	void
 	SetUp() override
 	{
 		struct http_client_settings set = {
-		    {4096, 65536}, 4, 10 * SEC_US};
+		    {4096, 65536}, 4, 10 * SEC_US, MAX_PARTIAL_BYTES};
 		struct sockaddr_in sin = loopback_addr(PORT);
 		int on = 1;
 
@@ -972,3 +974,87 @@
 		EXPECT_EQ(outcome, HTTP_RESPONSE_RECEIVED) << status;
 	}
 }
+
+namespace {
+
+/* One of several calls at a time. */
+struct Pending {
+	EndlessPeer peer;
+	int result_count = 0;
+	enum http_outcome outcome;
+	std::string body;
+
+	static void
+	on_result(void *arg, const struct http_result *r)
+	{
+		Pending *p = static_cast<Pending *>(arg);
+
+		p->result_count++;
+		p->outcome = r->outcome;
+		if (r->response != nullptr && r->response->body != nullptr)
+			p->body = std::string(
+			    r->response->body, r->response->body_len);
+	}
+};
+
+} // namespace
+
+/*
+ * Guards against a target that answers many requests at once with bytes that
+ * never end: their responses stay below the limit of one, but not of the
+ * memory that there is for all.  The others are read to their ends.
+ */
+TEST_F(Client, EndlessBytesOfManyCallsAreHeldWithinALimit)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n",
+			  part(20000, 'x');
+	std::vector<Pending> calls(64);
+	Pending sound;
+	struct http_client_settings set = {
+	    {4096, 4 << 20}, 4, 10 * SEC_US, MAX_PARTIAL_BYTES};
+	struct http_request r = {};
+	size_t most = 0, broken = 0;
+
+	http_client_destroy(client);
+	client = http_client_create(base, {LOOPBACK_IP, PORT}, &set);
+	r.method = "GET";
+	r.path = "/x";
+	r.headers = "Host: x\r\n";
+	r.headers_len = 9;
+	r.timeout_us = 60 * SEC_US;
+	ASSERT_NE(
+	    http_client_send(client, &r, Pending::on_result, &sound), nullptr);
+	sound.peer.fd = accept_connection();
+	receive(sound.peer.fd, "\r\n\r\n");
+	send_text(sound.peer.fd, head + "Content-Length: 40000\r\n\r\n" + part);
+	for (Pending &p : calls) {
+		ASSERT_NE(http_client_send(client, &r, Pending::on_result, &p),
+		    nullptr);
+		p.peer.fd = accept_connection();
+		receive(p.peer.fd, "\r\n\r\n");
+		p.peer.pending = head + "\r\n";
+		p.peer.repeated = "x";
+	}
+	run_until([&] {
+		broken = 0;
+		for (Pending &p : calls) {
+			p.peer.write_some();
+			most =
+			    std::max(most, http_client_partial_bytes(client));
+			broken += p.result_count > 0;
+		}
+		return broken == calls.size();
+	});
+	for (Pending &p : calls) {
+		EXPECT_EQ(p.result_count, 1);
+		EXPECT_EQ(p.outcome, HTTP_BROKEN);
+	}
+	EXPECT_GT(most, (size_t)100000);
+	EXPECT_LE(most, MAX_PARTIAL_BYTES);
+	EXPECT_EQ(sound.result_count, 0);
+	send_text(sound.peer.fd, part);
+	ASSERT_TRUE(run_until([&] { return sound.result_count > 0; }));
+	EXPECT_EQ(sound.outcome, HTTP_RESPONSE_RECEIVED);
+	EXPECT_EQ(sound.body, part + part);
+	EXPECT_EQ(http_client_partial_bytes(client), 0u);
+}
