--- a/t/standin-platform.c
+++ b/t/standin-platform.c
@@ -15,6 +15,8 @@
  *		down			answer no request
  *		slow			handle each request N ms later
  *		lose			do not answer writes that took effect
+ *		raw			send the bytes of the parameter "text"
+ *					as the response
  *	GET /-/stats			the numbers of reads and writes
  *
  * A write with an empty body removes the row.
@@ -34,6 +36,7 @@
 	MODE_DOWN,
 	MODE_SLOW,
 	MODE_LOSE_RESPONSES,
+	MODE_RAW,
 };
 
 struct row {
@@ -46,6 +49,7 @@
 	GTree *rows;
 	enum mode mode;
 	uint64_t delay_ms; /* for MODE_SLOW */
+	gchar *raw_text; /* for MODE_RAW */
 	uint64_t reads, writes;
 };
 
@@ -201,7 +205,8 @@
 static void
 set_mode(struct table *t, struct evhttp_request *req)
 {
-	static const char *const names[] = {"ok", "down", "slow", "lose"};
+	static const char *const names[] = {
+	    "ok", "down", "slow", "lose", "raw"};
 	gchar *name = standin_param(req, "mode", "ok");
 	size_t i;
 
@@ -210,6 +215,8 @@
 			t->mode = i;
 	}
 	t->delay_ms = standin_param_number(req, "ms", 500);
+	g_free(t->raw_text);
+	t->raw_text = standin_param(req, "text", "");
 	standin_reply(req, 200, "mode %s\n", names[t->mode]);
 	g_free(name);
 }
@@ -234,6 +241,8 @@
 		d->table = t;
 		d->req = req;
 		event_base_once(t->base, -1, EV_TIMEOUT, on_delay_over, d, &tv);
+	} else if (t->mode == MODE_RAW) {
+		standin_reply_raw(req, t->raw_text);
 	} else if (t->mode != MODE_DOWN) {
 		handle_request(t, req);
 	}
--- a/t/standin-target.c
+++ b/t/standin-target.c
@@ -30,7 +30,6 @@
  */
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -222,18 +221,6 @@
 	send_flood(NULL, c->req);
 }
 
-/* Send bytes as they are; the request ends when the daemon closes. */
-static void
-call_reply_raw(struct call *c, const char *text)
-{
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(
-	    evhttp_request_get_connection(c->req));
-	ssize_t len = (ssize_t)strlen(text);
-
-	if (write(bufferevent_getfd(bev), text, (size_t)len) != len)
-		abort();
-}
-
 static void
 call_finish(struct call *c, int status, const char *suffix)
 {
@@ -249,7 +236,7 @@
 	else if (t->mode == MODE_FLOOD)
 		call_reply_flood(c);
 	else if (t->mode == MODE_RAW)
-		call_reply_raw(c, t->raw_text);
+		standin_reply_raw(c->req, t->raw_text);
 	else
 		standin_reply(c->req, status, "%s answers %s for %s id %s%s\n",
 		    service, evhttp_request_get_uri(c->req),
--- a/t/standin.c
+++ b/t/standin.c
@@ -1,11 +1,14 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "t/standin.h"
 
@@ -88,6 +91,17 @@
 	evbuffer_free(buf);
 }
 
+void
+standin_reply_raw(struct evhttp_request *req, const char *text)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req));
+	ssize_t len = (ssize_t)strlen(text);
+
+	if (write(bufferevent_getfd(bev), text, (size_t)len) != len)
+		abort();
+}
+
 gchar *
 standin_param(struct evhttp_request *req, const char *name, const char *def)
 {
--- a/t/standin.h
+++ b/t/standin.h
@@ -44,6 +44,11 @@
 /* Answer a request with a formatted text as the body. */
 void standin_reply(struct evhttp_request *, int status, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/*
+ * Answer a request with the bytes of a text as they are.  The request ends when
+ * the peer closes the connection.
+ */
+void standin_reply_raw(struct evhttp_request *, const char *text);
 /*
  * Return a copy of a query parameter, or of the default, which may be NULL,
  * if it is absent.  The caller frees it with g_free().
--- a/t/t0001-path.sh
+++ b/t/t0001-path.sh
@@ -91,6 +91,20 @@
 expect 503 not-run $PORT /bookings -X POST -d x=1 -H "$AUTH"
 target_mode 3 ok
 
+# Nor is what the platform sends: here a configuration without any service, in
+# a chunk that does not end where it should, and then the same without a chunk's
+# size.
+for chunk in '13%0D%0A%5Bdatacentre%20plzen%5D%0AXY0%0D%0A%0D%0A' \
+	'%0D%0A%5Bdatacentre%20plzen%5D%0A%0D%0A0%0D%0A%0D%0A'
+do
+	platform_mode "raw&text=HTTP/1.1%20200%20OK%0D%0AVersion:%2099%0D%0ATransfer-Encoding:%20chunked%0D%0A%0D%0A$chunk"
+	sleep 2
+	expect 200 ran $PORT /records/1 -H "$AUTH"
+done
+platform_mode ok
+grep -q 'event=platform-lost' "$DIR"/daemon*.err ||
+	fail "no daemon has read what the platform sent"
+
 # Malformed input is refused or the connection closed; other callers are
 # still served.
 head -c 40000 /dev/zero | tr '\0' a >"$DIR/big"
