rows_native: take no row whose body has no length

Of a row whose connection closes midway, the part that had come was the row: a configuration without its last routes. The platform's own JSON rows show that they are cut; these texts do not, and targets' responses of this form are refused in the native dialect for the same reason.

Evidence: test-rows-native ABodyWithoutALengthIsNoRow failed before. Not seen by callers; found by reading.

--- a/daemon/rows_native.c
+++ b/daemon/rows_native.c
@@ -60,6 +60,10 @@
 {
 	const char *version = http_message_field(m, HEADER_VERSION);
 
+	row->status = ROW_UNKNOWN;
+	/* Without a length, a truncated row cannot be recognised. */
+	if (m->until_close)
+		return;
 	switch (m->status) {
 	case 200:
 		row->status =
@@ -72,7 +76,6 @@
 		row->status = ROW_CONFLICT;
 		break;
 	default:
-		row->status = ROW_UNKNOWN;
 		return;
 	}
 	row->version = version != NULL ? strtoull(version, NULL, 10) : 0;
