test-http-message: damage responses at random

50,000 responses with one to three bytes changed, added or removed are read whole and in pieces of random sizes: the reading is the same, its status is one, and its field lines are.

--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 extern "C" {
+#include "core/hash.h"
 #include "daemon/http_message.h"
 }
 
@@ -490,3 +491,89 @@
 		EXPECT_EQ(reader.r.state, HTTP_READER_MALFORMED) << lines;
 	}
 }
+
+namespace {
+
+/* What a response was read as, in words. */
+std::string
+reading_of(const std::string &text, uint64_t *rng)
+{
+	Reader reader(HTTP_READ_RESPONSE);
+	const struct http_message &m = reader.r.msg;
+	std::string s;
+	size_t at = 0, len;
+
+	while (at < text.size() && reader.r.state < HTTP_READER_COMPLETE) {
+		len = rng != nullptr ? 1 + rng_below(rng, 40) : text.size();
+		at += http_reader_feed(&reader.r, text.data() + at,
+		    std::min(len, text.size() - at));
+	}
+	if (reader.r.state >= HTTP_READER_MALFORMED)
+		return "refused";
+	http_reader_eof(&reader.r);
+	if (reader.r.state != HTTP_READER_COMPLETE)
+		return "incomplete";
+	EXPECT_TRUE(http_is_status((uint64_t)m.status)) << text;
+	s = std::to_string(m.status) + " " + std::to_string(at) + " " +
+	    std::to_string(m.keep_alive) + " " + body_of(m);
+	for (int i = 0; i < m.nfields; i++) {
+		const std::string line =
+		    std::string(http_message_field_name(&m, i)) + ": " +
+		    http_message_field_value(&m, i) + "\r\n";
+
+		EXPECT_TRUE(http_are_field_lines(line.data(), line.size()))
+		    << testing::PrintToString(text);
+		s += "\n" + line;
+	}
+	return s;
+}
+
+} // namespace
+
+/*
+ * Responses that are damaged at random are read the same in whatever pieces
+ * they come, and what is read is valid.
+ */
+TEST(HttpMessage, DamagedResponsesAreReadTheSameInAnyPieces)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n"
+				 "Response-Signature: s\r\n",
+			  sound[] = {head + "Content-Length: 3\r\n\r\none",
+			      head + "Transfer-Encoding: chunked\r\n\r\n"
+				     "3\r\none\r\n2;a=b\r\nto\r\n0\r\n"
+				     "A: b\r\n\r\n",
+			      head + "\r\nup to the end",
+			      "HTTP/1.1 100 Continue\r\n\r\n" + head +
+				  "Content-Length: 0\r\n\r\n"};
+	static const char likely[] = "\r\n\t :;,0123456789abcfHTP/.\0\x01\x7f";
+	uint64_t rng = 34;
+	int round, refused = 0;
+
+	for (round = 0; round < 50000; round++) {
+		std::string text = sound[rng_below(&rng, 4)], whole;
+		uint64_t n = 1 + rng_below(&rng, 3);
+
+		while (n-- > 0) {
+			size_t at = rng_below(&rng, text.size());
+			char c = likely[rng_below(&rng, sizeof(likely) - 1)];
+
+			switch (rng_below(&rng, 3)) {
+			case 0:
+				text[at] = c;
+				break;
+			case 1:
+				text.insert(at, 1, c);
+				break;
+			default:
+				text.erase(at, 1);
+				break;
+			}
+		}
+		whole = reading_of(text, nullptr);
+		refused += whole == "refused";
+		ASSERT_EQ(reading_of(text, &rng), whole)
+		    << testing::PrintToString(text);
+	}
+	EXPECT_GT(refused, 1000);
+	EXPECT_LT(refused, 49000);
+}
