http_message: find "close" in any list of options

"Connection: a,<tab>close" did not end a connection: the library knows spaces in the list only, while white space may be a tab (RFC 9110, 5.6.3). The next request went to a target that was about to close and failed as one that may have run.

Evidence: test-http-message CloseIsFoundInAnyList failed before for this case. The search through lists moves from dialect to http_message, which both use.

--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -13,36 +13,6 @@
 	evbuffer_add(out, "\r\n", 2);
 }
 
-/* Whether a comma-separated list holds an element, in any case. */
-static bool
-list_contains(const char *list, const char *element)
-{
-	size_t len = strlen(element), n;
-
-	while (*list != '\0') {
-		list += strspn(list, ", \t");
-		n = strcspn(list, ", \t");
-		if (n == len && strncasecmp(list, element, n) == 0)
-			return true;
-		list += n;
-	}
-	return false;
-}
-
-bool
-dialect_is_connection_option(const struct http_message *m, const char *name)
-{
-	int i;
-
-	for (i = 0; i < m->nfields; i++) {
-		if (strcasecmp(http_message_field_name(m, i), "Connection") ==
-			0 &&
-		    list_contains(http_message_field_value(m, i), name))
-			return true;
-	}
-	return false;
-}
-
 void
 dialect_copy_headers(const struct http_message *m,
     bool (*is_forwarded)(const char *name, const char *value),
@@ -62,7 +32,7 @@
 		name = http_message_field_name(m, i);
 		value = http_message_field_value(m, i);
 		if (!is_forwarded(name, value) ||
-		    dialect_is_connection_option(m, name))
+		    http_message_lists(m, "Connection", name))
 			continue;
 		at = stpcpy(at, name);
 		at = stpcpy(at, ": ");
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -88,9 +88,6 @@
  * Keep-Alive, and must not be forwarded.
  */
 bool dialect_is_hop_by_hop(const char *name);
-/* Whether the message's Connection header says so of headers with this name. */
-bool dialect_is_connection_option(
-    const struct http_message *, const char *name);
 /*
  * The credentials within an Authorization value, such as KEY in "Bearer KEY".
  * NULL if value is NULL, has another scheme or holds no credentials.
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -217,7 +217,9 @@
 {
 	struct http_reader *r = reader_of(p);
 
-	r->msg.keep_alive = http_should_keep_alive(p) != 0;
+	/* The library overlooks an element behind a tab. */
+	r->msg.keep_alive = http_should_keep_alive(p) != 0 &&
+			    !http_message_lists(&r->msg, "Connection", "close");
 	r->state = HTTP_READER_COMPLETE;
 	http_parser_pause(p, 1);
 	return 0;
@@ -396,6 +398,36 @@
 	return NULL;
 }
 
+/* Whether a comma-separated list holds an element, in any case. */
+static bool
+list_contains(const char *list, const char *element)
+{
+	size_t len = strlen(element), n;
+
+	while (*list != '\0') {
+		list += strspn(list, ", \t");
+		n = strcspn(list, ", \t");
+		if (n == len && strncasecmp(list, element, n) == 0)
+			return true;
+		list += n;
+	}
+	return false;
+}
+
+bool
+http_message_lists(
+    const struct http_message *m, const char *name, const char *element)
+{
+	int i;
+
+	for (i = 0; i < m->nfields; i++) {
+		if (strcasecmp(http_message_field_name(m, i), name) == 0 &&
+		    list_contains(http_message_field_value(m, i), element))
+			return true;
+	}
+	return false;
+}
+
 void
 http_message_move(struct http_message *dst, struct http_message *src)
 {
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -103,6 +103,12 @@
 size_t http_message_memory(const struct http_message *);
 /* The value of the first header with that name in any case, or NULL. */
 const char *http_message_field(const struct http_message *, const char *name);
+/*
+ * Whether one of the headers with that name lists an element, such as "close"
+ * in "Connection: close, te", in any case.
+ */
+bool http_message_lists(
+    const struct http_message *, const char *name, const char *element);
 /* Name and value of header i, from 0 to nfields - 1. */
 const char *http_message_field_name(const struct http_message *, int i);
 const char *http_message_field_value(const struct http_message *, int i);
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -479,6 +479,36 @@
 	}
 }
 
+/* RFC 9112, 9.3 and 9.6 */
+TEST(HttpMessage, CloseIsFoundInAnyList)
+{
+	const struct {
+		const char *lines;
+		bool keep_alive;
+	} cases[] = {
+	    {"", true},
+	    {"Connection: keep-alive\r\n", true},
+	    {"Connection: closed, x-close\r\n", true},
+	    {"Close: close\r\n", true},
+	    {"Connection: close\r\n", false},
+	    {"connection: CLOSE\r\n", false},
+	    {"Connection: a,close ,b\r\n", false},
+	    {"Connection: a,\tclose\t\r\n", false},
+	    {"Connection: keep-alive, close\r\n", false},
+	    {"Connection: keep-alive\r\nConnection: a, close\r\n", false},
+	};
+
+	for (const auto &c : cases) {
+		Reader reader(HTTP_READ_RESPONSE);
+
+		reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" +
+				std::string(c.lines) + "\r\n",
+		    1000);
+		EXPECT_EQ(reader.r.state, HTTP_READER_COMPLETE);
+		EXPECT_EQ(reader.r.msg.keep_alive, c.keep_alive) << c.lines;
+	}
+}
+
 /* RFC 9112, 3.2: parsers may disagree on which of two hosts counts. */
 TEST(HttpMessage, ARequestHasOneHost)
 {
