http_client: log which responses are refused

A call whose response is none fails as target-failed, like one whose connection is reset; whether the target garbles its answers was not to be seen. Each client now counts the responses that it refuses by cause and logs the counts once a second, if there are any. t0001 looks for the line.

--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -9,7 +9,7 @@
 #include "daemon/log.h"
 #include "daemon/stream.h"
 
-/* Between checks for idle connections that have expired. */
+/* Between checks for expired idle connections, and lines on refusals. */
 #define SWEEP_INTERVAL_US (1 * SEC_US)
 /*
  * An idle connection is closed this long before the peer's own keep-alive
@@ -51,6 +51,14 @@
 
 TAILQ_HEAD(conn_queue, client_conn);
 
+/* Why the responses to calls were refused. */
+struct refusal_counts {
+	unsigned int malformed;
+	unsigned int too_long; /* the head or the body */
+	unsigned int memory; /* all together took too much memory */
+	unsigned int cut; /* the connection ended before the response */
+};
+
 struct http_client {
 	struct event_base *base;
 	struct addr to;
@@ -59,6 +67,7 @@
 	struct conn_queue idle; /* most recently used first */
 	size_t nidle;
 	size_t partial_bytes; /* of all connections */
+	struct refusal_counts refused; /* since the last line in the log */
 	struct event *sweep;
 };
 
@@ -214,9 +223,7 @@
 		    c->partial_bytes > largest->partial_bytes)
 			largest = c;
 	}
-	log_line(LOG_WARNING, "responses-too-long",
-	    "bytes=%zu limit=%zu largest=%zu", cl->partial_bytes,
-	    cl->settings.max_partial_bytes, largest->partial_bytes);
+	cl->refused.memory++;
 	call_fail(largest, HTTP_BROKEN);
 }
 
@@ -236,6 +243,10 @@
 		data += used;
 		len -= used;
 		if (c->reader.state > HTTP_READER_COMPLETE) {
+			if (c->reader.state == HTTP_READER_MALFORMED)
+				c->client->refused.malformed++;
+			else
+				c->client->refused.too_long++;
 			call_fail(c, HTTP_BROKEN);
 			return;
 		}
@@ -248,6 +259,7 @@
 		if (skip_unrelated(c)) {
 			if (c->unrelated <= MAX_UNRELATED_MESSAGES)
 				continue;
+			c->client->refused.malformed++;
 			call_fail(c, HTTP_BROKEN);
 			return;
 		}
@@ -270,11 +282,14 @@
 	if (end == STREAM_EOF)
 		http_reader_eof(&c->reader);
 	c->not_reusable = true;
-	if (c->reader.state == HTTP_READER_COMPLETE && !skip_unrelated(c))
+	if (c->reader.state == HTTP_READER_COMPLETE && !skip_unrelated(c)) {
 		call_complete(c);
-	else
-		call_fail(c, end == STREAM_CONNECT_FAILED ? HTTP_NOT_CONNECTED
-							  : HTTP_BROKEN);
+		return;
+	}
+	if (c->reader.started)
+		c->client->refused.cut++;
+	call_fail(
+	    c, end == STREAM_CONNECT_FAILED ? HTTP_NOT_CONNECTED : HTTP_BROKEN);
 }
 
 static void
@@ -410,6 +425,22 @@
 		conn_free(c);
 }
 
+/* Log how many responses were refused since the last time, if any. */
+static void
+log_refused(struct http_client *cl)
+{
+	const struct refusal_counts *n = &cl->refused;
+	char text[ADDR_TEXT_LEN];
+
+	if (n->malformed + n->too_long + n->memory + n->cut == 0)
+		return;
+	log_line(LOG_WARNING, "responses-refused",
+	    "peer=%s malformed=%u too_long=%u memory=%u cut=%u",
+	    addr_text(cl->to, text), n->malformed, n->too_long, n->memory,
+	    n->cut);
+	memset(&cl->refused, 0, sizeof(cl->refused));
+}
+
 static void
 on_sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -423,6 +454,7 @@
 		if (c->idle_until_us <= now_us)
 			conn_free(c);
 	}
+	log_refused(cl);
 }
 
 struct http_client *
--- a/t/t0001-path.sh
+++ b/t/t0001-path.sh
@@ -87,6 +87,9 @@
 	target_mode 3 "raw&text=$text"
 	expect 502 unknown $PORT /bookings -X POST -d x=1 -H "$AUTH"
 done
+sleep 1.1
+grep -q 'event=responses-refused peer=127.0.0.1:[0-9]* malformed=[1-9]' \
+	"$DIR/daemon3.err" || fail "refused responses are not in the log"
 target_mode 3 shed
 expect 503 not-run $PORT /bookings -X POST -d x=1 -H "$AUTH"
 target_mode 3 ok
