--- a/t/test-platform-dialect.cc
+++ b/t/test-platform-dialect.cc
@@ -148,6 +148,16 @@
 	EXPECT_FALSE(Call("", "OPTIONS *").ok);
 }
 
+/*
+ * RFC 9112, 6.3, rule 2: after a success the connection is a tunnel, and what
+ * follows the response's head is no body.
+ */
+TEST(PlatformDialect, RefusesToOpenATunnel)
+{
+	EXPECT_FALSE(Call("", "CONNECT /a").ok);
+	EXPECT_FALSE(Call("", "CONNECT a:80").ok);
+}
+
 TEST(PlatformDialect, WritesCallerAndDeadlineForTheTarget)
 {
 	struct msg *m = msg_create(MSG_RUN);
