--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -18,6 +18,7 @@
     bool (*is_forwarded)(const char *name, const char *value),
     struct buffer *out)
 {
+	bool has_options = http_message_field(m, "Connection") != NULL;
 	const char *name, *value;
 	size_t len = 0;
 	char *at;
@@ -32,7 +33,7 @@
 		name = http_message_field_name(m, i);
 		value = http_message_field_value(m, i);
 		if (!is_forwarded(name, value) ||
-		    http_message_lists(m, "Connection", name))
+		    (has_options && http_message_lists(m, "Connection", name)))
 			continue;
 		at = stpcpy(at, name);
 		at = stpcpy(at, ": ");
