http_client: count no dropped response as a partial one

The memory of a late response to another request counted on until more bytes came on its connection, so that sound responses could be ended for it.

Evidence: test-http ALateResponseTakesNoMemoryOnceItIsDropped failed with the reset taken out.

--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -206,21 +206,27 @@
 		c->not_reusable = true;
 	}
 	c->unrelated++;
+	conn_count_partial(c, 0);
 	http_reader_next(&c->reader);
 	return true;
 }
 
-/* End the call whose response takes most, if all take too much memory. */
+/*
+ * Count the part of a response that has been received.  If all parts take too
+ * much memory then, end the call with the largest; it may be this one.
+ */
 static void
-limit_partial_bytes(struct http_client *cl)
+note_partial_response(struct client_conn *received)
 {
-	struct client_conn *c, *largest = NULL;
+	struct http_client *cl = received->client;
+	struct client_conn *c, *largest = received;
 
+	conn_count_partial(
+	    received, http_message_memory(&received->reader.msg));
 	if (cl->partial_bytes <= cl->settings.max_partial_bytes)
 		return;
 	TAILQ_FOREACH (c, &cl->busy, entry) {
-		if (largest == NULL ||
-		    c->partial_bytes > largest->partial_bytes)
+		if (c->partial_bytes > largest->partial_bytes)
 			largest = c;
 	}
 	cl->refused.memory++;
@@ -251,9 +257,7 @@
 			return;
 		}
 		if (c->reader.state != HTTP_READER_COMPLETE) {
-			conn_count_partial(
-			    c, http_message_memory(&c->reader.msg));
-			limit_partial_bytes(c->client);
+			note_partial_response(c);
 			return;
 		}
 		if (skip_unrelated(c)) {
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -587,6 +587,26 @@
 	EXPECT_TRUE(opens_connection());
 }
 
+TEST_F(Client, ALateResponseTakesNoMemoryOnceItIsDropped)
+{
+	const std::string late = response_with_id("0", std::string(50000, 'x'));
+	int fd;
+
+	send("1");
+	fd = accept_connection();
+	receive(fd, "\r\n\r\n");
+	send_text(fd, late.substr(0, 40000));
+	ASSERT_TRUE(run_until(
+	    [&] { return http_client_partial_bytes(client) >= 39000; }));
+	send_text(fd, late.substr(40000));
+	EXPECT_TRUE(
+	    run_until([&] { return http_client_partial_bytes(client) == 0; }));
+	EXPECT_EQ(result_count, 0);
+	send_text(fd, response_with_id("1", "one"));
+	ASSERT_TRUE(await_result());
+	EXPECT_EQ(body, "one");
+}
+
 TEST_F(Client, BytesOnAnIdleConnectionCloseIt)
 {
 	int fd;
