http_syntax: scan runs of bytes at once

The scan called a function for each byte of a head. The states in which most bytes come now have a second one, which counts the bytes that leave the state as it is, and header names are compared by their first letters before their rest.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -135,6 +136,17 @@
 	return (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 }
 
+/* Whether header i has that name; most names differ in their first letters. */
+static bool
+field_has_name(const struct http_message *m, int i, const char *name)
+{
+	const char *field = http_message_field_name(m, i);
+
+	return tolower((unsigned char)field[0]) ==
+		   tolower((unsigned char)name[0]) &&
+	       strcasecmp(field, name) == 0;
+}
+
 /* How many header lines with that name there are. */
 static int
 count_fields(const struct http_message *m, const char *name)
@@ -142,7 +154,7 @@
 	int i, n = 0;
 
 	for (i = 0; i < m->nfields; i++)
-		n += strcasecmp(http_message_field_name(m, i), name) == 0;
+		n += field_has_name(m, i, name);
 	return n;
 }
 
@@ -392,7 +404,7 @@
 	int i;
 
 	for (i = 0; i < m->nfields; i++) {
-		if (strcasecmp(http_message_field_name(m, i), name) == 0)
+		if (field_has_name(m, i, name))
 			return http_message_field_value(m, i);
 	}
 	return NULL;
@@ -421,7 +433,7 @@
 	int i;
 
 	for (i = 0; i < m->nfields; i++) {
-		if (strcasecmp(http_message_field_name(m, i), name) == 0 &&
+		if (field_has_name(m, i, name) &&
 		    list_contains(http_message_field_value(m, i), element))
 			return true;
 	}
--- a/wire/http_syntax.c
+++ b/wire/http_syntax.c
@@ -319,6 +319,52 @@
 	return expect(c, '\n', HTTP_SCAN_CHUNKS);
 }
 
+static size_t
+span_token(struct http_scan *s, const char *data, size_t len)
+{
+	size_t n = 0;
+
+	(void)s;
+	while (n < len && is_token((unsigned char)data[n]))
+		n++;
+	return n;
+}
+
+static size_t
+span_text(struct http_scan *s, const char *data, size_t len)
+{
+	size_t n = 0;
+
+	(void)s;
+	while (n < len && is_text((unsigned char)data[n]))
+		n++;
+	return n;
+}
+
+static size_t
+span_visible(struct http_scan *s, const char *data, size_t len)
+{
+	size_t n = 0;
+
+	(void)s;
+	while (n < len && is_visible((unsigned char)data[n]))
+		n++;
+	return n;
+}
+
+/* Counts all but the last byte of a chunk's data, which ends the state. */
+static size_t
+span_chunk_data(struct http_scan *s, const char *data, size_t len)
+{
+	uint64_t n = s->chunk_bytes - 1;
+
+	(void)data;
+	if (n > len)
+		n = len;
+	s->chunk_bytes -= n;
+	return (size_t)n;
+}
+
 /* Each takes the next byte in a state and returns the state after it. */
 static enum http_scan_state (*const steps[])(
     struct http_scan *, unsigned char) = {
@@ -365,20 +411,16 @@
 	return s->state >= HTTP_SCAN_DONE;
 }
 
-/*
- * Skips data of a chunk but for its last byte, which ends it.  Returns how many
- * bytes were skipped.
- */
-static size_t
-skip_chunk_data(struct http_scan *s, size_t len)
-{
-	uint64_t n = s->chunk_bytes - 1;
-
-	if (n > len)
-		n = len;
-	s->chunk_bytes -= n;
-	return (size_t)n;
-}
+/* Each counts the next bytes that leave a state as it is; NULL: not known. */
+static size_t (*const spans[])(struct http_scan *, const char *, size_t) = {
+    [HTTP_SCAN_TARGET] = span_visible,
+    [HTTP_SCAN_REASON] = span_text,
+    [HTTP_SCAN_FIELD_NAME] = span_token,
+    [HTTP_SCAN_FIELD_VALUE] = span_text,
+    [HTTP_SCAN_CHUNK_EXTENSION] = span_text,
+    [HTTP_SCAN_CHUNK_DATA] = span_chunk_data,
+    [HTTP_SCAN_DONE] = NULL,
+};
 
 size_t
 http_scan_feed(struct http_scan *s, const char *data, size_t len)
@@ -386,8 +428,8 @@
 	size_t i = 0;
 
 	while (i < len && !is_over(s)) {
-		if (s->state == HTTP_SCAN_CHUNK_DATA)
-			i += skip_chunk_data(s, len - i);
+		if (spans[s->state] != NULL)
+			i += spans[s->state](s, data + i, len - i);
 		if (i == len)
 			break;
 		s->state = steps[s->state](s, (unsigned char)data[i]);
