test-http: send broken responses on a kept connection

The test of statuses used new connections and whole pieces only. This one sends a status, field names and a chunk that are none byte by byte on a connection that has brought a sound response.

--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -752,6 +752,42 @@
 	}
 }
 
+/*
+ * The same on a connection that has brought a sound response, and byte by byte:
+ * a status, a field name and a chunk that are none.
+ */
+TEST_F(Client, ABrokenResponseOnAKeptConnectionIsBroken)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n";
+	const std::string bad[] = {
+	    "HTTP/1.1 000 OK\r\nRequest-Id: 2\r\nContent-Length: 3\r\n\r\ntwo",
+	    head + "A b: c\r\nContent-Length: 3\r\n\r\ntwo",
+	    head + "A\001: c\r\nContent-Length: 3\r\n\r\ntwo",
+	    head + "\rA: c\r\n\r\ntwo",
+	    head + "Transfer-Encoding: chunked\r\n\r\n3\r\ntwoXY0\r\n\r\n",
+	};
+
+	for (const std::string &response : bad) {
+		int fd;
+
+		send("1");
+		fd = accept_connection();
+		receive(fd, "\r\n\r\n");
+		send_text(fd, response_with_id("1", "one"));
+		ASSERT_TRUE(await_result());
+		send("2");
+		receive(fd, "\r\n\r\n");
+		for (char c : response) {
+			if (::send(fd, &c, 1, MSG_NOSIGNAL) != 1)
+				break; /* it has been refused already */
+			run_ms(1);
+		}
+		ASSERT_TRUE(await_result()) << response;
+		EXPECT_EQ(outcome, HTTP_BROKEN) << response;
+		EXPECT_TRUE(may_have_sent);
+	}
+}
+
 TEST_F(Client, ARefusedConnectionHasSentNothing)
 {
 	close_socket(listener, false);
