t: show what clients that do not behave do to a daemon

Callers that stop short of the end of a body, announce or send bodies far over the limit, do not read long answers, or connect and stay silent were played by no test.

Crowds and bounds are fixed here, before the product changes. The setting memory-mb does not exist yet; it is left out where the daemon does not know it.

Under the sanitizers they were not run yet.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 CLI	= cranberryway line_diff request builtin/check builtin/diff \
 	  builtin/drain builtin/explain builtin/help builtin/key \
 	  builtin/log builtin/show builtin/status builtin/submit
-STANDIN	= standin-caller standin-platform standin-proxy standin-target
+STANDIN	= standin-caller standin-crowd standin-platform standin-proxy standin-target
 TESTS	= $(patsubst t/%.cc,%,$(wildcard t/test-*.cc))
 BENCH	= $(patsubst bench/%.c,%,$(wildcard bench/bench-*.c))
 
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -178,3 +178,109 @@
 			exit bad > 0
 		}' "$DIR/runs" "$1"
 }
+
+# memory_peak NUMBER: the most memory that a daemon has used, in kB
+memory_peak () {
+	eval "pid=\$DAEMON_PID_$1"
+	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid/status"
+}
+
+# descriptor_count NUMBER: the descriptors that a daemon has open
+descriptor_count () {
+	eval "pid=\$DAEMON_PID_$1"
+	ls "/proc/$pid/fd" | wc -l
+}
+
+# setting_if_known NAME VALUE: a line for daemon_start, unless the daemon is of
+# a version that does not have the setting
+setting_if_known () {
+	"$B/cranberrywayd" --describe | grep -q "^$1 " && echo "$1 = $2" || :
+}
+
+# crowd_start [options of standin-crowd]: returns once the crowd has settled
+crowd_start () {
+	"$B/standin-crowd" --key "$KEY" "$@" >"$DIR/crowd" 2>&1 &
+	save_pid CROWD_PID
+	for i in $(seq 600)
+	do
+		grep -q settled "$DIR/crowd" && return 0
+		kill -0 "$CROWD_PID" 2>/dev/null || return 0
+		sleep 0.1
+	done
+	echo "the crowd has not settled" >&2
+	return 1
+}
+
+# calls_end NUMBER: wait until a daemon has no call in progress
+calls_end () {
+	for i in $(seq 300)
+	do
+		test "$(counter "$1" calls_now)" = 0 && return 0
+		sleep 0.1
+	done
+	echo "daemon $1 still has calls" >&2
+	return 1
+}
+
+# crowd_stop: end the crowd and print what it got
+crowd_stop () {
+	kill "$CROWD_PID" 2>/dev/null || :
+	wait "$CROWD_PID" 2>/dev/null || :
+	cat "$DIR/crowd"
+}
+
+# crowd_count STATUS: how many responses of the crowd had this status
+crowd_count () {
+	n=$(sed -n "s/^status $1 //p" "$DIR/crowd")
+	echo "${n:-0}"
+}
+
+# ordinary_call NUMBER PATH: make one call; true if it succeeds at once
+ordinary_call () {
+	code=$(get "$(port "$1" 1)" "$2" -o /dev/null -w '%{http_code}' \
+		-H "Authorization: Bearer $KEY") || :
+	echo "an ordinary call gets $code"
+	test "$code" = 200
+}
+
+fail () {
+	echo "FAIL: $*"
+	cat "$DIR"/*.err
+	exit 1
+}
+
+# check_daemon NUMBER MEMORY_KB: the daemon lives and has stayed within its
+# memory
+check_daemon () {
+	eval "pid=\$DAEMON_PID_$1"
+	kill -0 "$pid" || fail "daemon $1 ended"
+	peak=$(memory_peak "$1")
+	echo "daemon $1: peak $peak kB of $2"
+	test "$peak" -lt "$2" || fail "daemon $1 used $peak kB of $2"
+}
+
+# Memory that a daemon gets in the tests of clients that do not behave.
+MEMORY_MB=96
+MEMORY_KB=$((MEMORY_MB * 1000 * 1000 / 1024))
+
+# small_fleet [SETTINGS]: two daemons with little memory, a target beside each
+small_fleet () {
+	# The sanitizers keep freed memory for some time.
+	ASAN_OPTIONS=quarantine_size_mb=1
+	export ASAN_OPTIONS
+	fleet_init
+	sed 's/^rate = .*/rate = 100000/; s/^burst = .*/burst = 10000/' \
+		Documentation/examples/association.ini >"$DIR/catalog.ini"
+	platform_start "$DIR/catalog.ini"
+	memory=$(setting_if_known memory-mb $MEMORY_MB)
+	for n in 1 2
+	do
+		daemon_start $n plzen "$memory
+$1"
+	done
+	target_start 1 records --slots 400
+	target_start 2 certificates --slots 400
+	ready 1 /records/1
+	ready 1 /certificates/1
+	ready 2 /certificates/1
+}
--- a/t/standin-target.c
+++ b/t/standin-target.c
@@ -18,6 +18,9 @@
  *		truncate	send less than the stated Content-Length
  *		endless		send part of a body without a length
  *		flood		send a body that never ends
+ *		long		answer with a body of N bytes
+ *		sum		answer with the length and the SHA-256 of the
+ *				request's body
  *		raw		send the bytes of the parameter "text" as the
  *				response
  *		crash		exit after the next call has run, before its
@@ -55,10 +58,12 @@
 	MODE_ENDLESS,
 	MODE_RAW,
 	MODE_FLOOD,
+	MODE_LONG,
+	MODE_SUM,
 };
 
 static const char *const mode_names[] = {"ok", "slow", "cold", "draining",
-    "shed", "truncate", "crash", "endless", "raw", "flood"};
+    "shed", "truncate", "crash", "endless", "raw", "flood", "long", "sum"};
 
 /* A call that runs, or that waits for a slot. */
 struct call {
@@ -221,6 +226,34 @@
 	send_flood(NULL, c->req);
 }
 
+/* Answer with "mode_ms" bytes. */
+static void
+call_reply_long(struct call *c)
+{
+	struct evbuffer *buf = evbuffer_new();
+	size_t len = (size_t)c->target->mode_ms;
+	char *bytes = g_malloc(len);
+
+	memset(bytes, 'x', len);
+	evbuffer_add(buf, bytes, len);
+	evhttp_send_reply(c->req, 200, NULL, buf);
+	evbuffer_free(buf);
+	g_free(bytes);
+}
+
+/* Answer with the length of the body and its SHA-256. */
+static void
+call_reply_sum(struct call *c)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(c->req);
+	size_t len = evbuffer_get_length(body);
+	gchar *sum = g_compute_checksum_for_data(
+	    G_CHECKSUM_SHA256, evbuffer_pullup(body, -1), len);
+
+	standin_reply(c->req, 200, "%zu %s\n", len, sum);
+	g_free(sum);
+}
+
 static void
 call_finish(struct call *c, int status, const char *suffix)
 {
@@ -235,6 +268,10 @@
 		call_reply_truncated(c, t->mode == MODE_TRUNCATE);
 	else if (t->mode == MODE_FLOOD)
 		call_reply_flood(c);
+	else if (t->mode == MODE_LONG)
+		call_reply_long(c);
+	else if (t->mode == MODE_SUM)
+		call_reply_sum(c);
 	else if (t->mode == MODE_RAW)
 		standin_reply_raw(c->req, t->raw_text);
 	else
