msg: share the bodies of requests and replies in place of copying

A call keeps its request for a second try and gives each try a copy of it, and a reply is copied for the ledger and for each daemon that waits. So a body takes its size several times on one host, and an account of what a process holds would have to count each copy.

--- a/bench/bench-frame.c
+++ b/bench/bench-frame.c
@@ -25,7 +25,7 @@
 static void
 measure(const char *name, struct msg *m)
 {
-	struct buffer buf = {NULL, 0};
+	struct buffer buf = {0};
 	struct msg *got;
 	double start_ns, encode_ns, decode_ns;
 	size_t used, len;
--- a/core/attempt.c
+++ b/core/attempt.c
@@ -126,7 +126,7 @@
 	f->context.allowance =
 	    n->setup.retrier->pass_on(c->parent_job != 0, c->allowance);
 	c->allowance -= f->context.allowance;
-	request_copy(&f->request, &c->call.request);
+	request_share(&f->request, &c->call.request);
 	/* Wait beyond the deadline, where entry_suspend() would end the wait.
 	 */
 	entry_suspend(c, ENTRY_WAIT_REPLY, UINT64_MAX);
--- a/core/confstate.c
+++ b/core/confstate.c
@@ -80,7 +80,7 @@
 confstate_offer(
     struct confstate *cs, const struct config *c, struct instant now)
 {
-	struct buffer text = {NULL, 0};
+	struct buffer text = {0};
 	enum conf_result ret;
 
 	if (c->version < cs->version)
--- a/core/fate.c
+++ b/core/fate.c
@@ -47,7 +47,7 @@
 	if (state != FATE_RAN)
 		return;
 	if (rec->has_reply)
-		serve_send_reply_copy(n, msg->peer, f->seq, &rec->reply, out);
+		serve_share_reply(n, msg->peer, f->seq, &rec->reply, out);
 	else
 		serve_send_failure(n, msg->peer, f->seq,
 		    failure_make(VERDICT_RAN, REASON_ANSWER_GONE), 0, out);
--- a/core/leave.c
+++ b/core/leave.c
@@ -36,7 +36,7 @@
 		msg->u.handover.may_have_run =
 		    rec->state == LEDGER_STATE_UNKNOWN;
 		if (rec->has_reply)
-			reply_copy(&msg->u.handover.reply, &rec->reply);
+			reply_share(&msg->u.handover.reply, &rec->reply);
 		n->counters.values[COUNT_RECORDS_HANDED_OVER]++;
 	}
 	RB_FOREACH (m, member_tree, &g->members) {
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -175,8 +175,7 @@
 }
 
 static void
-keep_reply(
-    struct ledger *l, struct ledger_record *rec, const struct reply *reply)
+keep_reply(struct ledger *l, struct ledger_record *rec, struct reply *reply)
 {
 	size_t size = reply_size(reply);
 
@@ -184,15 +183,14 @@
 		return;
 	while (l->reply_bytes + size > l->max_reply_bytes)
 		drop_reply(l, TAILQ_FIRST(&l->by_reply));
-	reply_copy(&rec->reply, reply);
+	reply_share(&rec->reply, reply);
 	rec->has_reply = true;
 	l->reply_bytes += size;
 	TAILQ_INSERT_TAIL(&l->by_reply, rec, by_reply);
 }
 
 void
-ledger_finish(
-    struct ledger *l, struct ledger_record *rec, const struct reply *reply)
+ledger_finish(struct ledger *l, struct ledger_record *rec, struct reply *reply)
 {
 	rec->state = LEDGER_STATE_RAN;
 	if (!rec->has_reply)
@@ -240,7 +238,7 @@
 
 void
 ledger_import(struct ledger *l, const char *org, const char *id,
-    enum ledger_state state, const struct reply *reply, struct instant now)
+    enum ledger_state state, struct reply *reply, struct instant now)
 {
 	struct ledger_record *rec = ledger_find(l, org, id);
 
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -105,11 +105,10 @@
 void ledger_add_waiter(
     struct ledger_record *, struct addr entry_daemon, uint64_t seq);
 /*
- * The call ran: keep a copy of its reply, unless that alone is larger than
+ * The call ran: share its reply, unless that alone is larger than
  * max_reply_bytes.
  */
-void ledger_finish(
-    struct ledger *, struct ledger_record *, const struct reply *);
+void ledger_finish(struct ledger *, struct ledger_record *, struct reply *);
 /*
  * Remove and free the record of a call that did not run.  Tries that still
  * wait for it are dropped without a reply.
@@ -128,10 +127,10 @@
 /*
  * Take over a record from a daemon that leaves, also if the ledger is full.  A
  * record of the same id here that is running or ran keeps its state.  The
- * reply is copied; NULL if the other daemon no longer had it.
+ * reply is shared; NULL if the other daemon no longer had it.
  */
 void ledger_import(struct ledger *, const char *org, const char *id,
-    enum ledger_state, const struct reply *, struct instant now);
+    enum ledger_state, struct reply *, struct instant now);
 /* Drop records older than LEDGER_RETENTION_US, except running ones. */
 void ledger_tick(struct ledger *, struct instant now);
 /*
--- a/core/msg.c
+++ b/core/msg.c
@@ -161,13 +161,13 @@
 }
 
 void
-request_copy(struct request *dst, const struct request *src)
+request_share(struct request *dst, struct request *src)
 {
 	memcpy(dst->method, src->method, sizeof(dst->method));
 	memcpy(dst->host, src->host, sizeof(dst->host));
 	memcpy(dst->path, src->path, sizeof(dst->path));
-	buffer_set(&dst->headers, src->headers.data, src->headers.len);
-	buffer_set(&dst->body, src->body.data, src->body.len);
+	buffer_share(&dst->headers, &src->headers);
+	buffer_share(&dst->body, &src->body);
 }
 
 void
@@ -186,14 +186,14 @@
 }
 
 void
-reply_copy(struct reply *dst, const struct reply *src)
+reply_share(struct reply *dst, struct reply *src)
 {
 	reply_release(dst);
 	*dst = *src;
 	memset(&dst->headers, 0, sizeof(dst->headers));
 	memset(&dst->body, 0, sizeof(dst->body));
-	buffer_set(&dst->headers, src->headers.data, src->headers.len);
-	buffer_set(&dst->body, src->body.data, src->body.len);
+	buffer_share(&dst->headers, &src->headers);
+	buffer_share(&dst->body, &src->body);
 }
 
 void
--- a/core/msg.h
+++ b/core/msg.h
@@ -422,15 +422,16 @@
 const char *msg_kind_name(enum msg_kind);
 
 /*
- * Requests and replies own their buffers.  A move or a copy frees what dst
- * held before, so dst has to be in use or all zeroes.  A move leaves src all
- * zeroes.
+ * Requests and replies own their buffers.  Each of these frees what dst held
+ * before, so dst has to be in use or all zeroes.  A move leaves src all zeroes.
+ * After x_share() both have the same content, and their buffers may not be
+ * changed; large bodies take memory only once.
  */
 void request_move(struct request *dst, struct request *src);
-void request_copy(struct request *dst, const struct request *src);
+void request_share(struct request *dst, struct request *src);
 void request_release(struct request *);
 void reply_move(struct reply *dst, struct reply *src);
-void reply_copy(struct reply *dst, const struct reply *src);
+void reply_share(struct reply *dst, struct reply *src);
 void reply_release(struct reply *);
 /* Turn an empty reply into a failure. */
 void reply_fail(struct reply *, struct failure);
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -301,9 +301,9 @@
 /* Send a failure, and return the allowance that was not used. */
 void serve_send_failure(struct node *, struct addr to, uint64_t seq,
     struct failure, uint32_t allowance, struct msg_list *);
-/* Send a copy of a kept reply, with the present load and no allowance. */
-void serve_send_reply_copy(struct node *, struct addr to, uint64_t seq,
-    const struct reply *, struct msg_list *);
+/* Send a kept reply once more, with the present load and no allowance. */
+void serve_share_reply(struct node *, struct addr to, uint64_t seq,
+    struct reply *, struct msg_list *);
 
 /* fate.c */
 void serve_handle_ask_fate(
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -325,7 +325,7 @@
 write_row(struct node *n, struct group *g, struct owner_table *next,
     struct instant now, struct msg_list *out)
 {
-	struct buffer text = {NULL, 0};
+	struct buffer text = {0};
 	char key[ROW_KEY_LEN];
 
 	owner_table_format(next, &text);
--- a/core/serve.c
+++ b/core/serve.c
@@ -134,12 +134,12 @@
 }
 
 void
-serve_send_reply_copy(struct node *n, struct addr to, uint64_t seq,
-    const struct reply *reply, struct msg_list *out)
+serve_share_reply(struct node *n, struct addr to, uint64_t seq,
+    struct reply *reply, struct msg_list *out)
 {
 	struct msg *m = msg_emit(out, MSG_REPLY, to, seq);
 
-	reply_copy(&m->u.reply, reply);
+	reply_share(&m->u.reply, reply);
 	m->u.reply.allowance = 0;
 	m->u.reply.tries = 0;
 	add_target_state(n, &m->u.reply);
@@ -173,13 +173,13 @@
 
 /* Send the outcome to every try that waits for the record. */
 static void
-reply_waiters(struct node *n, struct ledger_record *rec,
-    const struct reply *reply, struct msg_list *out)
+reply_waiters(struct node *n, struct ledger_record *rec, struct reply *reply,
+    struct msg_list *out)
 {
 	struct ledger_waiter *w;
 
 	while ((w = LIST_FIRST(&rec->waiters)) != NULL) {
-		serve_send_reply_copy(n, w->entry_daemon, w->seq, reply, out);
+		serve_share_reply(n, w->entry_daemon, w->seq, reply, out);
 		LIST_REMOVE(w, entry);
 		free(w);
 	}
@@ -277,7 +277,7 @@
 	case LEDGER_STATE_RAN:
 		n->counters.values[COUNT_LEDGER_REPLAYS]++;
 		if (rec->has_reply) {
-			serve_send_reply_copy(
+			serve_share_reply(
 			    n, msg->peer, msg->seq, &rec->reply, out);
 			return true;
 		}
@@ -562,7 +562,7 @@
 
 static void
 settle_ledger_record(
-    struct node *n, struct job *j, const struct reply *r, struct msg_list *out)
+    struct node *n, struct job *j, struct reply *r, struct msg_list *out)
 {
 	struct ledger_record *rec = j->record;
 
--- a/core/types.c
+++ b/core/types.c
@@ -58,7 +58,7 @@
 
 	if (len > 0)
 		memcpy(copy, data, len);
-	free(b->data);
+	buffer_release(b);
 	b->data = copy;
 	b->len = len;
 }
@@ -68,16 +68,38 @@
 {
 	buffer_release(dst);
 	*dst = *src;
-	src->data = NULL;
-	src->len = 0;
+	memset(src, 0, sizeof(*src));
+}
+
+void
+buffer_share(struct buffer *dst, struct buffer *src)
+{
+	buffer_release(dst);
+	if (src->data != NULL && src->refs == NULL) {
+		src->refs = xcalloc(1, sizeof(*src->refs));
+		*src->refs = 1;
+	}
+	*dst = *src;
+	if (dst->refs != NULL)
+		++*dst->refs;
+}
+
+void
+buffer_adopt(struct buffer *dst, char *data, size_t len)
+{
+	buffer_release(dst);
+	dst->data = data;
+	dst->len = len;
 }
 
 void
 buffer_release(struct buffer *b)
 {
-	free(b->data);
-	b->data = NULL;
-	b->len = 0;
+	if (b->refs == NULL || --*b->refs == 0) {
+		free(b->data);
+		free(b->refs);
+	}
+	memset(b, 0, sizeof(*b));
 }
 
 void
--- a/core/types.h
+++ b/core/types.h
@@ -33,10 +33,14 @@
 	uint16_t port;
 };
 
-/* A block of bytes that is owned by the struct. */
+/*
+ * A block of bytes that is owned by the struct, alone or together with others
+ * that buffer_share() made.  A block that is shared must not be changed.
+ */
 struct buffer {
 	char *data; /* NULL if nothing was ever set */
 	size_t len; /* bytes, without the NUL that follows them */
+	unsigned int *refs; /* how many share the block; NULL: only this one */
 };
 
 /*
@@ -78,6 +82,16 @@
 void buffer_set(struct buffer *, const void *, size_t len);
 /* Release dst, then move the content of src to it and leave src empty. */
 void buffer_move(struct buffer *dst, struct buffer *src);
+/*
+ * Release dst, then let it share the content of src, which stays as it is.
+ * The bytes are freed once all that share them were released.
+ */
+void buffer_share(struct buffer *dst, struct buffer *src);
+/*
+ * Release dst, then let it own a block that malloc() allocated, with a NUL
+ * after len bytes.  NULL is allowed for an empty one.
+ */
+void buffer_adopt(struct buffer *dst, char *data, size_t len);
 /* Free the content; the buffer is empty afterwards. */
 void buffer_release(struct buffer *);
 
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -103,7 +103,7 @@
 static void
 send_handshake(struct link *l, const struct handshake *h)
 {
-	struct buffer buf = {NULL, 0};
+	struct buffer buf = {0};
 
 	frame_encode_handshake(h, &buf);
 	stream_write(l->stream, buf.data, buf.len);
@@ -267,7 +267,7 @@
 static void
 send_message(struct link *l, struct msg *m)
 {
-	struct buffer buf = {NULL, 0};
+	struct buffer buf = {0};
 
 	frame_encode(m, &buf);
 	note_message(l, m);
--- a/t/replay.c
+++ b/t/replay.c
@@ -501,7 +501,12 @@
 	struct run *next;
 
 	m->seq = run->seq;
-	reply_copy(&m->u.reply, reply);
+	m->u.reply = *reply;
+	memset(&m->u.reply.headers, 0, sizeof(m->u.reply.headers));
+	memset(&m->u.reply.body, 0, sizeof(m->u.reply.body));
+	buffer_set(
+	    &m->u.reply.headers, reply->headers.data, reply->headers.len);
+	buffer_set(&m->u.reply.body, reply->body.data, reply->body.len);
 	LIST_REMOVE(run, entry);
 	if (run->started)
 		h->running--;
--- a/t/test-frame.cc
+++ b/t/test-frame.cc
@@ -17,7 +17,7 @@
 std::vector<uint8_t>
 encode(struct msg *m)
 {
-	struct buffer b = {nullptr, 0};
+	struct buffer b = {};
 	std::vector<uint8_t> v;
 
 	frame_encode(m, &b);
@@ -239,7 +239,7 @@
 TEST(Frame, HandshakeHelloRoundTrips)
 {
 	struct handshake h = {}, decoded;
-	struct buffer b = {nullptr, 0};
+	struct buffer b = {};
 	size_t used;
 
 	h.is_hello = true;
--- a/t/test-link.cc
+++ b/t/test-link.cc
@@ -160,7 +160,7 @@
 	void
 	write_handshake(int fd, const struct handshake &h)
 	{
-		struct buffer buf = {nullptr, 0};
+		struct buffer buf = {};
 
 		frame_encode_handshake(&h, &buf);
 		ASSERT_EQ(write(fd, buf.data, buf.len), (ssize_t)buf.len);
--- a/t/test-owners.cc
+++ b/t/test-owners.cc
@@ -153,7 +153,7 @@
 {
 	ThreeOwners t;
 	struct owner_table *copy;
-	struct buffer b = {nullptr, 0};
+	struct buffer b = {};
 
 	t.load(2, "1 1 9 0 0 0\nrubbish\n2 1 9 0 6000 2\n3 99999 9 0 0 0\n");
 	copy = owner_table_copy(t.t);
