account: count what a process holds, and choose who gives way

Nothing counts what a daemon keeps for its callers, targets and peers, so nothing can tell that it is too much, nor whose fault that is.

struct account is the one place that counts a resource. Whatever keeps some of it has a holder, which says how much it holds and when something last moved; while the sum is over the limit, the one that holds most and moves least gives way. A part is reserved for links and the platform. Nothing is charged yet.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 LDLIBS	= $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
 LDFLAGS	+= $(SANFLAGS)
 
-CORE	= attempt balance bucket catalog confstate control counters \
+CORE	= account attempt balance bucket catalog confstate control counters \
 	  decision_log entry fate grant group hash histogram id_guard \
 	  leave ledger limit local_target member_row membership msg node operator \
 	  owners ownership pool pressure quota retry row_watch serve shed tree types \
--- /dev/null
+++ b/core/account.c
@@ -0,0 +1,215 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/account.h"
+
+/* Bytes that count as a move.  A peer that sends fewer now and then stalls. */
+#define PROGRESS_BYTES 4096
+/*
+ * A holder counts as standing still for at least this long, so that among
+ * those that move the one that holds most gives way.
+ */
+#define MIN_IDLE_US (100 * MSEC_US)
+#define IDLE_UNIT_US MSEC_US /* of the weight, so that it fits 64 bits */
+
+TAILQ_HEAD(holder_list, holder);
+
+struct account {
+	struct holder_list holders;
+	struct account_state state;
+	uint64_t reserved; /* part of the limit, for essential holders */
+	uint64_t held_essential;
+	void (*on_over)(void *arg);
+	void *arg;
+};
+
+static const char *const kind_names[HOLDER_KIND_COUNT] = {
+    [HOLDER_CALLER] = "caller",
+    [HOLDER_JOB] = "job",
+    [HOLDER_TARGET] = "target",
+    [HOLDER_LINK] = "link",
+    [HOLDER_ARRIVING] = "arriving",
+    [HOLDER_LEAVING] = "leaving",
+    [HOLDER_MAILBOX] = "mailbox",
+    [HOLDER_LEDGER] = "ledger",
+    [HOLDER_PORT] = "port",
+};
+
+const char *
+holder_kind_name(enum holder_kind kind)
+{
+	return kind < HOLDER_KIND_COUNT ? kind_names[kind] : "unknown";
+}
+
+struct account *
+account_create(
+    uint64_t limit, uint64_t reserved, void (*on_over)(void *arg), void *arg)
+{
+	struct account *a = xcalloc(1, sizeof(*a));
+
+	TAILQ_INIT(&a->holders);
+	a->on_over = on_over;
+	a->arg = arg;
+	account_set_limit(a, limit, reserved);
+	return a;
+}
+
+void
+account_destroy(struct account *a)
+{
+	free(a);
+}
+
+void
+account_set_limit(struct account *a, uint64_t limit, uint64_t reserved)
+{
+	a->state.limit = limit;
+	a->reserved = reserved < limit ? reserved : limit;
+}
+
+const struct account_state *
+account_state(const struct account *a)
+{
+	return &a->state;
+}
+
+bool
+account_is_over(const struct account *a)
+{
+	uint64_t kept_free = a->held_essential < a->reserved
+				 ? a->reserved - a->held_essential
+				 : 0;
+
+	return a->state.held + kept_free > a->state.limit;
+}
+
+/* The holder that gives way first; NULL: none can. */
+static struct holder *
+find_heaviest(struct account *a, struct holder *self, uint64_t now_us)
+{
+	struct holder *h, *heaviest = NULL;
+	uint64_t weight, most = 0;
+
+	if (self != NULL && self->ops->give_way != NULL) {
+		heaviest = self;
+		most = holder_weight(self, now_us);
+	}
+	TAILQ_FOREACH (h, &a->holders, entry) {
+		if (h->ops->give_way == NULL || h->held == 0)
+			continue;
+		weight = holder_weight(h, now_us);
+		if (heaviest != NULL && weight <= most)
+			continue;
+		heaviest = h;
+		most = weight;
+	}
+	return heaviest;
+}
+
+static void
+note_gives_way(struct account *a, const struct holder *h, uint64_t now_us)
+{
+	a->state.gave_way[h->ops->kind]++;
+	a->state.last_held = h->held;
+	a->state.last_idle_us = now_us - h->moved_us;
+}
+
+bool
+account_make_room(struct account *a, struct holder *self, uint64_t now_us)
+{
+	struct holder *h;
+	uint64_t before;
+
+	if (a == NULL)
+		return true;
+	while (account_is_over(a)) {
+		h = find_heaviest(a, self, now_us);
+		if (h == NULL)
+			break;
+		before = a->state.held;
+		note_gives_way(a, h, now_us);
+		h->ops->give_way(h->owner);
+		if (h == self)
+			return false;
+		if (a->state.held >= before)
+			break;
+	}
+	return true;
+}
+
+void
+holder_init(struct holder *h, struct account *a, const struct holder_ops *ops,
+    void *owner, uint64_t now_us)
+{
+	memset(h, 0, sizeof(*h));
+	h->account = a;
+	h->ops = ops;
+	h->owner = owner;
+	h->moved_us = now_us;
+	if (a != NULL)
+		TAILQ_INSERT_TAIL(&a->holders, h, entry);
+}
+
+void
+holder_release(struct holder *h)
+{
+	if (h->account == NULL)
+		return;
+	holder_set(h, 0);
+	TAILQ_REMOVE(&h->account->holders, h, entry);
+	h->account = NULL;
+}
+
+void
+holder_set(struct holder *h, uint64_t held)
+{
+	struct account *a = h->account;
+	uint64_t added = held - h->held; /* wraps around if it is less */
+	bool grows = held > h->held;
+
+	if (a == NULL || added == 0)
+		return;
+	h->held = held;
+	a->state.held += added;
+	a->state.held_by[h->ops->kind] += added;
+	if (h->ops->is_essential)
+		a->held_essential += added;
+	if (a->state.held > a->state.peak)
+		a->state.peak = a->state.held;
+	if (grows && a->on_over != NULL && account_is_over(a))
+		a->on_over(a->arg);
+}
+
+void
+holder_moved(struct holder *h, uint64_t bytes, uint64_t now_us)
+{
+	h->progress += bytes;
+	if (h->progress >= PROGRESS_BYTES)
+		holder_finished(h, now_us);
+}
+
+void
+holder_finished(struct holder *h, uint64_t now_us)
+{
+	h->progress = 0;
+	h->moved_us = now_us;
+}
+
+void
+holder_set_waiting(struct holder *h, bool waiting, uint64_t now_us)
+{
+	if (h->is_waiting && !waiting)
+		holder_finished(h, now_us);
+	h->is_waiting = waiting;
+}
+
+uint64_t
+holder_weight(const struct holder *h, uint64_t now_us)
+{
+	uint64_t idle_us =
+	    h->is_waiting || now_us < h->moved_us ? 0 : now_us - h->moved_us;
+
+	if (idle_us < MIN_IDLE_US)
+		idle_us = MIN_IDLE_US;
+	return h->held * (idle_us / IDLE_UNIT_US);
+}
