http_server: refuse requests that take the memory of others

Callers saw the daemon end. Each body is kept whole until its last byte, so callers that stop short of it take 1 MB each for as long as they send a byte now and then, and nothing counted them together.

A caller's connection charges it with all that is kept for it until the response has been read. Over the limit the connection that holds most and moves least gives way, before the next event is handled: a request that is still arriving is refused with 503 as not run, which is true since it was not passed on, and otherwise the connection is closed.

--- a/config/settings.c
+++ b/config/settings.c
@@ -79,6 +79,8 @@
 	1024, 1048576, "", "bytes", "headers of one request or response"},
     {"max-body-bytes", SETTING_NUMBER, FIELD(max_body_bytes), false, 1048576,
 	1024, 3145728, "", "bytes", "body of one request or response"},
+    {"memory-mb", SETTING_NUMBER, FIELD(memory_mb), false, 0, 0, 1048576, "",
+	"MB", "memory that the daemon may take; 0: all that the host has"},
     {"max-partial-bytes", SETTING_NUMBER, FIELD(max_partial_bytes), false,
 	50331648, 1048576, 1073741824, "", "bytes",
 	"the target's responses that are not complete yet, together"},
--- a/config/settings.h
+++ b/config/settings.h
@@ -57,6 +57,7 @@
 	uint64_t max_ledger_reply_bytes; /* responses kept in the ledger */
 	uint64_t max_header_bytes; /* of one request or response */
 	uint64_t max_body_bytes; /* of one request or response */
+	uint64_t memory_mb; /* for this process; 0: all that the host has */
 	/* Of the target's responses that are not complete yet, together. */
 	uint64_t max_partial_bytes;
 	uint64_t default_deadline_ms; /* of a call that states none */
--- a/core/account.c
+++ b/core/account.c
@@ -167,9 +167,9 @@
 	uint64_t added = held - h->held; /* wraps around if it is less */
 	bool grows = held > h->held;
 
+	h->held = held;
 	if (a == NULL || added == 0)
 		return;
-	h->held = held;
 	a->state.held += added;
 	a->state.held_by[h->ops->kind] += added;
 	if (h->ops->is_essential)
--- a/core/account.h
+++ b/core/account.h
@@ -13,9 +13,9 @@
  *
  *	account_make_room(account, NULL, now_us);
  *
- * Essential holders, such as links and requests to the platform, never give
- * way.  A part of the limit is reserved for them, as far as they do not use it:
- * the others give way before they take it.
+ * Essential holders are those that the daemon cannot do without, such as links
+ * and requests to the platform.  A part of the limit is reserved for them: the
+ * others give way before they take it.
  *
  * An account may be NULL: its holders charge nothing.
  */
@@ -38,7 +38,7 @@
 	HOLDER_LEAVING, /* a body that is sent over a link */
 	HOLDER_MAILBOX, /* messages between the tasks */
 	HOLDER_LEDGER, /* replies that the ledger keeps */
-	HOLDER_PORT, /* a port that listens */
+	HOLDER_PORT, /* a connection to another port than the callers' */
 	HOLDER_KIND_COUNT,
 };
 
--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -73,7 +73,7 @@
 	}
 }
 
-static const struct http_server_ops server_ops = {on_request, NULL};
+static const struct http_server_ops server_ops = {.request = on_request};
 
 static void
 receive(void *state, struct msg *m)
@@ -101,6 +101,8 @@
 	    .header_timeout_us = CONNECTION_TIMEOUT_US,
 	    .idle_timeout_us = CONNECTION_TIMEOUT_US,
 	    .max_connections = MAX_CONNECTIONS,
+	    .memory = d->memory,
+	    .role = HTTP_SERVER_ESSENTIAL,
 	};
 	struct announce_task *s = xcalloc(1, sizeof(*s));
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -34,8 +34,10 @@
  */
 #define PROBE_SEQ_FLAG (UINT64_C(1) << 63)
 
+struct account;
 struct announce_protocol;
 struct dialect;
+struct holdings;
 struct row_protocol;
 
 /*
@@ -52,6 +54,8 @@
 	/* NULL: the dialect has no announce port. */
 	const struct announce_protocol *announce_protocol;
 	uint64_t max_descriptors; /* limit of open files of this process */
+	struct holdings *holdings; /* which owns the account that follows */
+	struct account *memory; /* bytes that all tasks keep; NULL: no limit */
 	/*
 	 * Key that authenticates links: a hash of the secret file, or zeroes
 	 * without one, when links are open to every daemon.
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -10,6 +10,7 @@
 
 #include "core/decision_log.h"
 #include "daemon/daemon.h"
+#include "daemon/holdings.h"
 #include "daemon/log.h"
 
 /* From drained until the tasks are asked whether their output has left. */
@@ -377,6 +378,7 @@
 	log_decisions(s);
 	log_odd_rows(s);
 	log_stray_replies(s);
+	holdings_log(s->daemon->holdings);
 	publish_state(s);
 	exit_if_drained(s, now);
 	arm_timer(s);
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -31,11 +31,11 @@
 struct dialect {
 	const char *name; /* value of the setting "dialect" */
 	/*
-	 * Parse a caller's request into a zeroed call; false: malformed.  The
-	 * call's owner frees its buffers in either case.
+	 * Parse a caller's request into a zeroed call, which takes its body;
+	 * false: malformed.  The call's owner frees its buffers in either case.
 	 */
 	bool (*read_request)(
-	    struct daemon *, const struct http_message *, struct call *);
+	    struct daemon *, struct http_message *, struct call *);
 	/*
 	 * Write the headers and the body of the response to a failed call;
 	 * returns the response's HTTP status.
@@ -60,10 +60,11 @@
 	 */
 	bool (*may_keep_connection)(const struct http_message *);
 	/*
-	 * Parse a target's response into a zeroed reply, which is a failure if
-	 * the target refused the request or the message cannot be trusted.
+	 * Parse a target's response into a zeroed reply, which takes its body.
+	 * It is a failure if the target refused the request or the message
+	 * cannot be trusted.
 	 */
-	void (*read_response)(const struct http_message *, struct reply *);
+	void (*read_response)(struct http_message *, struct reply *);
 };
 
 /* The product's own interface; wire/httpmap.h names its headers. */
--- a/daemon/dialect_native.c
+++ b/daemon/dialect_native.c
@@ -95,7 +95,7 @@
 }
 
 static bool
-read_request(struct daemon *d, const struct http_message *m, struct call *c)
+read_request(struct daemon *d, struct http_message *m, struct call *c)
 {
 	const char *url = http_message_url(m);
 	const char *key = dialect_find_credentials(
@@ -116,7 +116,7 @@
 		return false;
 	read_context(d, m, c);
 	dialect_copy_headers(m, is_forwarded, &c->request.headers);
-	buffer_set(&c->request.body, m->body, m->body_len);
+	http_message_take_body(m, &c->request.body);
 	return true;
 }
 
@@ -204,7 +204,7 @@
  * does when it sheds the request.
  */
 static void
-read_response(const struct http_message *m, struct reply *r)
+read_response(struct http_message *m, struct reply *r)
 {
 	if (is_refusal(m)) {
 		reply_fail(r, failure_make(VERDICT_NOT_RUN, REASON_SHED));
@@ -218,7 +218,7 @@
 	}
 	r->status = m->status;
 	dialect_copy_headers(m, is_forwarded, &r->headers);
-	buffer_set(&r->body, m->body, m->body_len);
+	http_message_take_body(m, &r->body);
 }
 
 const struct dialect dialect_native = {
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -4,6 +4,7 @@
  */
 #include <bsd/sys/tree.h>
 #include <event2/buffer.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +20,13 @@
  */
 #define SPARE_DESCRIPTORS_DIVISOR 4
 
+/*
+ * Retry-After of a request that was refused while it arrived, for the memory
+ * that it took; spread, so that those refused together do not return together.
+ */
+#define RETRY_AFTER_MIN_MS 500
+#define RETRY_AFTER_SPREAD_MS 1000
+
 struct front_call {
 	RB_ENTRY(front_call) entry;
 	struct front_task *front;
@@ -113,6 +121,31 @@
 	send_failure(f, ex, &tag, &r);
 }
 
+/*
+ * Refuse a request that is arriving.  Its caller is told the id that it sent,
+ * if that has come.
+ */
+static void
+on_refuse(void *owner, struct http_exchange *ex)
+{
+	struct http_message *m = http_exchange_request(ex);
+	struct front_task *f = owner;
+	struct call_tag tag = {0};
+	struct call call = {0};
+	struct reply r = {0};
+
+	if (m->method != NULL &&
+	    f->daemon->dialect->read_request(f->daemon, m, &call)) {
+		name_copy(tag.id, call.id, sizeof(tag.id));
+		tag.deadline_ms = call.context.deadline_ms;
+	}
+	request_release(&call.request);
+	reply_fail(&r, failure_make(VERDICT_NOT_RUN, REASON_BUSY));
+	r.retry_after_ms =
+	    RETRY_AFTER_MIN_MS + randombytes_uniform(RETRY_AFTER_SPREAD_MS);
+	send_failure(f, ex, &tag, &r);
+}
+
 static void
 on_request(void *owner, struct http_exchange *ex)
 {
@@ -139,7 +172,8 @@
 	task_send(f->daemon->decide, m);
 }
 
-static const struct http_server_ops server_ops = {on_request, on_disconnected};
+static const struct http_server_ops server_ops = {
+    on_request, on_disconnected, on_refuse};
 
 /* Answer a call; its caller may have disconnected meanwhile. */
 static void
@@ -244,6 +278,7 @@
 	f->from_settings.idle_timeout_us = s->caller_idle_s * SEC_US;
 	f->from_settings.max_connections =
 	    d->max_descriptors - d->max_descriptors / SPARE_DESCRIPTORS_DIVISOR;
+	f->from_settings.memory = d->memory;
 	f->http = http_server_create(
 	    d->base, s->callers, &f->from_settings, &server_ops, f);
 	if (f->http == NULL) {
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -304,7 +304,8 @@
 	c->connected = true;
 }
 
-static const struct stream_ops stream_ops = {on_read, on_closed, on_connected};
+static const struct stream_ops stream_ops = {
+    .read = on_read, .closed = on_closed, .connected = on_connected};
 
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -99,6 +99,11 @@
 /* Release the message and start with the next one of the connection. */
 void http_reader_next(struct http_reader *);
 
+/*
+ * Move the body to a buffer, whose previous content is released.  The message
+ * has no body afterwards.
+ */
+void http_message_take_body(struct http_message *, struct buffer *);
 /* Memory in bytes that a message takes. */
 size_t http_message_memory(const struct http_message *);
 /* The value of the first header with that name in any case, or NULL. */
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -19,6 +19,12 @@
 #define RESPONSE_HEAD_BYTES 256
 /* Output that the peer does not read, above which its connection is closed. */
 #define MAX_OUTPUT_BYTES (8u << 20)
+/*
+ * What a connection takes beside the bytes that it keeps: its stream and
+ * events, and for each request what the core keeps of the call.
+ */
+#define CONNECTION_OVERHEAD_BYTES 2048
+#define REQUEST_OVERHEAD_BYTES 4096
 
 struct http_exchange {
 	TAILQ_ENTRY(http_exchange) entry;
@@ -26,6 +32,7 @@
 	struct http_message request;
 	/* Set once answered; sent after the responses to earlier requests. */
 	struct evbuffer *response;
+	size_t held; /* bytes charged for the request or the response */
 	void *user_data; /* of the server's owner */
 	bool closes_conn; /* the connection closes after this response */
 	bool delivered; /* to ops->request, or refused by the server itself */
@@ -40,6 +47,8 @@
 	struct http_reader reader;
 	struct exchange_list exchanges;
 	unsigned int nexchanges;
+	size_t exchanges_held; /* sum of theirs */
+	struct holder memory;
 	struct buffer unparsed; /* received, but not parsed while paused */
 	/* Last byte received, response sent, or progress of a slow reader. */
 	uint64_t last_active_us;
@@ -64,9 +73,32 @@
 	bool draining;
 };
 
+static void
+exchange_set_held(struct http_exchange *ex, size_t held)
+{
+	ex->conn->exchanges_held += held - ex->held;
+	ex->held = held;
+}
+
+/* Charge the memory account with what is kept for the connection now. */
+static void
+conn_charge(struct http_conn *c)
+{
+	size_t unsent = stream_bytes_pending(c->stream);
+	bool waiting =
+	    !TAILQ_EMPTY(&c->exchanges) && !c->reader.started && unsent == 0;
+
+	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES +
+				   http_message_memory(&c->reader.msg) +
+				   c->unparsed.len + c->exchanges_held +
+				   unsent);
+	holder_set_waiting(&c->memory, waiting, c->last_active_us);
+}
+
 static void
 exchange_free(struct http_exchange *ex)
 {
+	exchange_set_held(ex, 0);
 	TAILQ_REMOVE(&ex->conn->exchanges, ex, entry);
 	ex->conn->nexchanges--;
 	if (ex->response != NULL)
@@ -88,6 +120,7 @@
 	}
 	LIST_REMOVE(c, entry);
 	c->server->nconns--;
+	holder_release(&c->memory);
 	http_reader_release(&c->reader);
 	buffer_release(&c->unparsed);
 	stream_destroy(c->stream);
@@ -124,6 +157,7 @@
 	if (!sent)
 		return;
 	c->last_active_us = daemon_now().mono_us;
+	holder_finished(&c->memory, c->last_active_us);
 	stream_flush(c->stream);
 }
 
@@ -136,6 +170,26 @@
 	http_message_move(&ex->request, &c->reader.msg);
 	TAILQ_INSERT_TAIL(&c->exchanges, ex, entry);
 	c->nexchanges++;
+	exchange_set_held(ex, sizeof(*ex) + REQUEST_OVERHEAD_BYTES +
+				  http_message_memory(&ex->request));
+	return ex;
+}
+
+/* End the request being read, whose response closes the connection. */
+static struct http_exchange *
+end_request(struct http_conn *c)
+{
+	struct http_exchange *ex = exchange_create(c);
+	struct buffer body = {0};
+
+	http_message_take_body(&ex->request, &body);
+	buffer_release(&body);
+	exchange_set_held(ex, sizeof(*ex) + http_message_memory(&ex->request));
+	c->reader.started = false;
+	c->ending = true;
+	c->ending_since_us = daemon_now().mono_us;
+	ex->closes_conn = true;
+	ex->delivered = true;
 	return ex;
 }
 
@@ -144,15 +198,42 @@
 refuse_request(struct http_conn *c, int status)
 {
 	struct http_response resp = {.status = status, .close = true};
-	struct http_exchange *ex = exchange_create(c);
 
 	log_line(LOG_INFO, "request-refused", "status=%d", status);
-	c->ending = true;
-	c->ending_since_us = daemon_now().mono_us;
-	ex->delivered = true;
-	http_exchange_respond(ex, &resp);
+	http_exchange_respond(end_request(c), &resp);
+}
+
+/* Whether most of what is kept is a request that has not come to its end. */
+static bool
+is_mostly_unread_request(const struct http_conn *c)
+{
+	return c->reader.started && !c->ending &&
+	       http_message_memory(&c->reader.msg) > c->memory.held / 2;
 }
 
+/*
+ * Free what the connection keeps.  The request that is being read was not
+ * passed on, so it can be refused as not run.
+ */
+static void
+conn_give_way(void *owner)
+{
+	struct http_conn *c = owner;
+	const struct http_server *s = c->server;
+
+	if (s->ops->refuse != NULL && is_mostly_unread_request(c)) {
+		s->ops->refuse(s->owner, end_request(c));
+		conn_charge(c);
+	} else {
+		conn_free(c, true);
+	}
+}
+
+static const struct holder_ops holder_ops[] = {
+    [HTTP_SERVER_FOR_CALLERS] = {HOLDER_CALLER, false, conn_give_way},
+    [HTTP_SERVER_ESSENTIAL] = {HOLDER_PORT, true, NULL},
+};
+
 static void
 deliver_request(struct http_conn *c)
 {
@@ -164,6 +245,7 @@
 	http_reader_next(&c->reader);
 	c->request_start_us = 0;
 	ex->delivered = true;
+	holder_finished(&c->memory, c->last_active_us);
 	c->server->ops->request(c->server->owner, ex);
 }
 
@@ -232,7 +314,18 @@
 	struct http_conn *c = owner;
 
 	c->last_active_us = daemon_now().mono_us;
+	holder_moved(&c->memory, len, c->last_active_us);
 	conn_parse(c, data, len);
+	conn_charge(c);
+}
+
+static void
+on_sent(void *owner, size_t len)
+{
+	struct http_conn *c = owner;
+
+	holder_moved(&c->memory, len, daemon_now().mono_us);
+	conn_charge(c);
 }
 
 static void
@@ -242,7 +335,8 @@
 	conn_free(owner, true);
 }
 
-static const struct stream_ops stream_ops = {on_read, on_closed, NULL};
+static const struct stream_ops stream_ops = {
+    .read = on_read, .closed = on_closed, .sent = on_sent};
 
 /*
  * Parse the bytes that were kept and resume reading, once fewer than half of
@@ -299,12 +393,15 @@
 	evbuffer_add(ex->response, "\r\n", 2);
 	if (resp->body_len > 0 && !no_body)
 		evbuffer_add(ex->response, resp->body, resp->body_len);
+	exchange_set_held(ex, sizeof(*ex) + evbuffer_get_length(ex->response));
+	http_message_release(&ex->request);
 	conn_send_responses(c);
 	conn_resume_reading(c);
+	conn_charge(c);
 }
 
-const struct http_message *
-http_exchange_request(const struct http_exchange *ex)
+struct http_message *
+http_exchange_request(struct http_exchange *ex)
 {
 	return &ex->request;
 }
@@ -338,10 +435,13 @@
 	TAILQ_INIT(&c->exchanges);
 	http_reader_init(&c->reader, HTTP_READ_REQUEST, &s->settings.limits);
 	c->last_active_us = daemon_now().mono_us;
+	holder_init(&c->memory, s->settings.memory,
+	    &holder_ops[s->settings.role], c, c->last_active_us);
 	c->stream = stream_accept(s->base, fd, &stream_ops, c);
 	stream_allow_pauses(c->stream);
 	LIST_INSERT_HEAD(&s->conns, c, entry);
 	s->nconns++;
+	conn_charge(c);
 }
 
 static bool
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -12,12 +12,19 @@
  *	http_server_destroy(s);
  *
  * The server itself answers malformed requests and those over a limit.
+ *
+ * A connection charges the account of memory with all that is kept for it: the
+ * request that arrives, those that wait for their responses, also where the
+ * owner has their bodies by then, and the responses that the caller has yet to
+ * read.  When it has to give way, a request that is arriving is refused with
+ * ops->refuse(), and otherwise the connection is closed.
  */
 #ifndef DAEMON_HTTP_SERVER_H
 #define DAEMON_HTTP_SERVER_H
 
 #include <event2/event.h>
 
+#include "core/account.h"
 #include "daemon/http_message.h"
 
 struct http_server;
@@ -30,6 +37,13 @@
 	/* Without a request, or without progress within a body. */
 	uint64_t idle_timeout_us;
 	size_t max_connections; /* further ones are closed at once */
+	/* The account of memory; NULL: none. */
+	struct account *memory;
+	/* What a connection is to the account, and whether it gives way. */
+	enum http_server_role {
+		HTTP_SERVER_FOR_CALLERS,
+		HTTP_SERVER_ESSENTIAL, /* never gives way */
+	} role;
 };
 
 /* A response to send; http_exchange_respond() copies what it needs. */
@@ -51,6 +65,13 @@
 	 * if ops->request always answers before it returns.
 	 */
 	void (*disconnected)(void *owner, struct http_exchange *);
+	/*
+	 * Respond to a request, of which only a part was received, as not run,
+	 * for the process has to free its memory; the request has no body, and
+	 * its method is NULL if its headers are not complete either.  NULL: its
+	 * connection is closed.
+	 */
+	void (*refuse)(void *owner, struct http_exchange *);
 };
 
 /* Returns NULL, after an error in the log, if the address cannot be bound. */
@@ -83,8 +104,11 @@
 /* The number of open connections. */
 size_t http_server_connection_count(const struct http_server *);
 
-/* The request of an exchange, owned by and valid as long as the exchange. */
-const struct http_message *http_exchange_request(const struct http_exchange *);
+/*
+ * The request of an exchange, owned by and valid as long as the exchange.  The
+ * server's owner may take its body; it is charged until the response.
+ */
+struct http_message *http_exchange_request(struct http_exchange *);
 /* Attach a pointer to an exchange for the server's owner, or return it. */
 void http_exchange_set_user_data(struct http_exchange *, void *);
 void *http_exchange_user_data(const struct http_exchange *);
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -442,7 +442,8 @@
 	send_hello(owner);
 }
 
-static const struct stream_ops stream_ops = {on_read, on_closed, on_connected};
+static const struct stream_ops stream_ops = {
+    .read = on_read, .closed = on_closed, .connected = on_connected};
 
 static struct link *
 link_create(struct link_task *s, bool outgoing)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -3,6 +3,7 @@
  */
 #include <event2/event.h>
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -13,6 +14,7 @@
 #include "config/catalog_ini.h"
 #include "daemon/daemon.h"
 #include "daemon/dialect.h"
+#include "daemon/holdings.h"
 #include "daemon/log.h"
 #include "daemon/rows.h"
 #include "platform/platform.h"
@@ -20,6 +22,11 @@
 #define EXIT_FATAL 128 /* exit status: a setting, file or port is unusable */
 #define EXIT_USAGE 129 /* exit status: wrong command line */
 #define DEFAULT_MAX_DESCRIPTORS 1024 /* assumed if the limit is unknown */
+/*
+ * Allocations above this size are given back to the system when they are freed.
+ * The C library would raise its threshold after the first large body.
+ */
+#define LARGE_ALLOCATION_BYTES (128 << 10)
 #define SECRET_MIN_BYTES 32 /* smallest accepted secret file */
 
 static GQuark
@@ -192,6 +199,7 @@
 		log_line(LOG_NOTICE, "reloaded", "platform_changed=%d",
 		    !addr_equal(s->platform, d->settings->platform));
 		settings_copy(d->settings, s);
+		holdings_reload(d->holdings);
 		task_send(d->decide, msg_create(MSG_RELOAD));
 		task_send(d->platform, msg_create(MSG_RELOAD));
 	} else {
@@ -273,6 +281,8 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	d->base = event_base_new();
+	event_base_priority_init(d->base, LOOP_PRIORITIES);
+	d->holdings = holdings_create(d);
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	intr = evsignal_new(d->base, SIGINT, on_signal, d);
 	hup = evsignal_new(d->base, SIGHUP, on_reload, d);
@@ -289,6 +299,7 @@
 	event_free(term);
 	event_free(intr);
 	event_free(hup);
+	holdings_destroy(d->holdings);
 	event_base_free(d->base);
 	return ret;
 }
@@ -336,6 +347,7 @@
 
 	if (sodium_init() < 0)
 		return EXIT_FATAL;
+	mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION_BYTES);
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &error))
 		return print_fatal(error, EXIT_USAGE);
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -99,7 +99,8 @@
 	scrape_free(owner, http_exchange_user_data(ex));
 }
 
-static const struct http_server_ops server_ops = {on_request, on_disconnected};
+static const struct http_server_ops server_ops = {
+    .request = on_request, .disconnected = on_disconnected};
 
 static void
 receive(void *state, struct msg *m)
@@ -140,6 +141,8 @@
 	    .header_timeout_us = CONNECTION_TIMEOUT_US,
 	    .idle_timeout_us = CONNECTION_TIMEOUT_US,
 	    .max_connections = MAX_CONNECTIONS,
+	    .memory = p->daemon->memory,
+	    .role = HTTP_SERVER_ESSENTIAL,
 	};
 
 	if (at.port == 0)
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -89,7 +89,7 @@
  * is shut down, so that the read event reports the end to the owner.
  */
 static void
-write_output(struct stream *st)
+write_to_socket(struct stream *st)
 {
 	int n;
 
@@ -115,6 +115,16 @@
 		shutdown(st->fd, SHUT_WR);
 }
 
+static void
+write_output(struct stream *st)
+{
+	uint64_t before = st->bytes_sent;
+
+	write_to_socket(st);
+	if (st->bytes_sent != before && st->ops->sent != NULL)
+		st->ops->sent(st->owner, (size_t)(st->bytes_sent - before));
+}
+
 static bool
 finish_connect(struct stream *st)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -41,6 +41,11 @@
 	 * stream.
 	 */
 	void (*connected)(void *owner);
+	/*
+	 * The kernel has taken len bytes of the output.  May be NULL; must not
+	 * destroy the stream, and may append to its output.
+	 */
+	void (*sent)(void *owner, size_t len);
 };
 
 /*
--- a/t/http-text.h
+++ b/t/http-text.h
@@ -28,8 +28,8 @@
 		http_reader_release(&r);
 	}
 	/* The message, valid as long as this object. */
-	const struct http_message *
-	get() const
+	struct http_message *
+	get()
 	{
 		return &r.msg;
 	}
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -400,6 +400,176 @@
 	}));
 }
 
+/* The server, with an account of memory that is soon full. */
+
+namespace {
+
+struct FullServer : public Server {
+	static constexpr size_t LIMIT = 300000;
+
+	void
+	SetUp() override
+	{
+		static const struct http_server_ops ops = {
+		    on_request, on_disconnect, on_refuse};
+		struct http_server_settings set = {
+		    {4096, 200000}, 5 * SEC_US, 5 * SEC_US, 100};
+
+		Loop::SetUp();
+		memory = account_create(LIMIT, 0, on_over, this);
+		set.memory = memory;
+		server = http_server_create(
+		    base, {LOOPBACK_IP, PORT}, &set, &ops, this);
+		ASSERT_NE(server, nullptr);
+	}
+	void
+	TearDown() override
+	{
+		http_server_destroy(server);
+		EXPECT_EQ(account_state(memory)->held, 0u);
+		account_destroy(memory);
+		Loop::TearDown();
+	}
+	static void
+	on_over(void *arg)
+	{
+		FullServer *s = static_cast<FullServer *>(arg);
+
+		event_base_once(s->base, -1, EV_TIMEOUT, make_room, s, nullptr);
+	}
+	static void
+	make_room(evutil_socket_t, short, void *arg)
+	{
+		account_make_room(static_cast<FullServer *>(arg)->memory,
+		    nullptr, daemon_now().mono_us);
+	}
+	static void
+	on_refuse(void *owner, struct http_exchange *ex)
+	{
+		FullServer *s = static_cast<FullServer *>(owner);
+		struct http_response response = {};
+
+		s->refused_heads +=
+		    http_exchange_request(ex)->method == nullptr;
+		response.status = 503;
+		http_exchange_respond(ex, &response);
+	}
+	/* Start a request whose body stops short of its end. */
+	int
+	stall(size_t body_len, size_t sent)
+	{
+		int fd = connect_to_server();
+		size_t before = account_state(memory)->held;
+
+		send_text(
+		    fd, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+			    std::to_string(body_len) + "\r\n\r\n" +
+			    std::string(sent, 'x'));
+		EXPECT_TRUE(run_until([&] {
+			return account_state(memory)->held >= before + sent ||
+			       account_state(memory)->gave_way[HOLDER_CALLER];
+		}));
+		return fd;
+	}
+
+	struct account *memory;
+	int refused_heads = 0;
+};
+
+} // namespace
+
+TEST_F(FullServer, AStalledBodyIsRefusedWhereOthersNeedTheRoom)
+{
+	int stalled = stall(150000, 140000), moving;
+
+	run_ms(300);
+	moving = stall(190000, 180000);
+	EXPECT_NE(receive(stalled, "\r\n\r\n").find("503"), std::string::npos);
+	EXPECT_EQ(account_state(memory)->gave_way[HOLDER_CALLER], 1u);
+	send_text(moving, std::string(10000, 'x'));
+	ASSERT_TRUE(await_requests(1));
+	EXPECT_EQ(http_exchange_request(exchanges[0])->body_len, 190000u);
+	respond(0, "whole");
+	EXPECT_NE(receive(moving, "whole").find("200"), std::string::npos);
+	EXPECT_EQ(disconnects, 0);
+}
+
+TEST_F(FullServer, ABodyInDripsCountsAsStalled)
+{
+	int drips = stall(150000, 140000), moving;
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		send_text(drips, "x");
+		run_ms(30);
+	}
+	moving = stall(190000, 180000);
+	EXPECT_NE(receive(drips, "\r\n\r\n").find("503"), std::string::npos);
+	send_text(moving, std::string(10000, 'x'));
+	ASSERT_TRUE(await_requests(1));
+	respond(0, "whole");
+}
+
+/* The owner has the body by then; the caller still answers for it. */
+TEST_F(FullServer, ARequestIsChargedUntilItsResponse)
+{
+	struct buffer body = {};
+	int fd = stall(100000, 100000);
+
+	ASSERT_TRUE(await_requests(1));
+	http_message_take_body(http_exchange_request(exchanges[0]), &body);
+	EXPECT_EQ(body.len, 100000u);
+	buffer_release(&body);
+	EXPECT_GT(account_state(memory)->held, 100000u);
+	respond(0, "short");
+	receive(fd, "short");
+	EXPECT_LT(account_state(memory)->held, 20000u);
+}
+
+TEST_F(FullServer, ACallerThatWaitsStaysWhileOthersStall)
+{
+	int waits = stall(150000, 150000), stalled;
+
+	ASSERT_TRUE(await_requests(1));
+	stalled = stall(130000, 100000);
+	run_ms(300);
+	stall(130000, 100000);
+	EXPECT_NE(receive(stalled, "\r\n\r\n").find("503"), std::string::npos);
+	respond(0, "whole");
+	EXPECT_NE(receive(waits, "whole").find("200"), std::string::npos);
+	EXPECT_EQ(disconnects, 0);
+}
+
+TEST_F(FullServer, ACallerThatSentTooManyRequestsIsDisconnected)
+{
+	int fd = connect_to_server(), i;
+	std::string one = "POST /x HTTP/1.1\r\nHost: x\r\n"
+			  "Content-Length: 50000\r\n\r\n" +
+			  std::string(50000, 'x');
+
+	for (i = 0; i < 6; i++)
+		send_text(fd, one);
+	EXPECT_EQ(receive(fd, ""), "");
+	EXPECT_GT(disconnects, 0);
+	EXPECT_EQ(http_server_connection_count(server), 0u);
+}
+
+TEST_F(FullServer, StartsOfHeadsAreChargedAndRefused)
+{
+	std::vector<int> all;
+	int i;
+
+	for (i = 0; i < 60; i++) {
+		all.push_back(connect_to_server());
+		send_text(all[i],
+		    "GET /x HTTP/1.1\r\nHost: " + std::string(4000, 'x'));
+		run_ms(2);
+	}
+	EXPECT_GT(refused_heads, 0);
+	EXPECT_LE(account_state(memory)->held, LIMIT);
+	EXPECT_EQ(exchanges.size(), 0u);
+}
+
 /* The client, with the tests as the target. */
 
 namespace {
