http_message: refuse a body as soon as its length is too long

Callers that announced 10 GB got no answer until the limit had been received, and a daemon kept up to that for each of them: the limit was checked against the bytes received, not against Content-Length or the size of a chunk.

The length is checked with the headers, and each chunk's with its line, for requests and responses. The response to HEAD, which may state any length, has no body and is not checked.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -194,6 +194,22 @@
 	       (p->flags & F_CONTENTLENGTH) == 0;
 }
 
+/*
+ * Refuse a body that will be too long with the bytes that are announced, by a
+ * length or the size of a chunk.  Returns what a parser callback does.
+ */
+static int
+check_announced(struct http_parser *p)
+{
+	struct http_reader *r = reader_of(p);
+	size_t room = r->limits.body_bytes - r->msg.body_len;
+
+	if (p->content_length <= room)
+		return 0;
+	r->state = HTTP_READER_BODY_TOO_LONG;
+	return -1;
+}
+
 static int
 on_headers_complete(struct http_parser *p)
 {
@@ -217,7 +233,7 @@
 		expect = http_message_field(m, "Expect");
 		m->expects_continue =
 		    expect != NULL && strcasecmp(expect, "100-continue") == 0;
-		return 0;
+		return p->flags & F_CONTENTLENGTH ? check_announced(p) : 0;
 	}
 	if (!http_is_status(p->status_code) ||
 	    p->status_code == STATUS_SWITCHING_PROTOCOLS)
@@ -225,7 +241,7 @@
 	if (has_no_body(p, r))
 		return SKIP_BODY;
 	m->until_close = !has_known_length(p);
-	return 0;
+	return p->flags & F_CONTENTLENGTH ? check_announced(p) : 0;
 }
 
 static int
@@ -263,6 +279,7 @@
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_headers_complete,
+    .on_chunk_header = check_announced,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -251,6 +251,33 @@
 	EXPECT_EQ(body.r.state, HTTP_READER_BODY_TOO_LONG);
 }
 
+/* Guards against bodies that are kept up to the limit before their refusal. */
+TEST(HttpMessage, RefusesABodyOnceItsLengthIsKnownToBeTooLong)
+{
+	Reader length(HTTP_READ_REQUEST), chunk(HTTP_READ_REQUEST),
+	    fits(HTTP_READ_REQUEST), response(HTTP_READ_RESPONSE),
+	    head(HTTP_READ_RESPONSE);
+	const std::string chunked =
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	length.feed("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 7);
+	EXPECT_EQ(length.r.state, HTTP_READER_BODY_TOO_LONG);
+	/* 32768 and 32769 bytes. */
+	chunk.feed(
+	    chunked + "8000\r\n" + std::string(32768, 'x') + "\r\n8001\r\n",
+	    1000);
+	EXPECT_EQ(chunk.r.state, HTTP_READER_BODY_TOO_LONG);
+	fits.feed("POST / HTTP/1.1\r\nContent-Length: 65536\r\n\r\n", 7);
+	EXPECT_EQ(fits.r.state, HTTP_READER_BODY);
+	response.feed(
+	    "HTTP/1.1 200 OK\r\nContent-Length: 10000000000\r\n\r\n", 7);
+	EXPECT_EQ(response.r.state, HTTP_READER_BODY_TOO_LONG);
+	/* The response to HEAD says how long the body would be. */
+	head.r.no_body = true;
+	head.feed("HTTP/1.1 200 OK\r\nContent-Length: 10000000000\r\n\r\n", 7);
+	EXPECT_EQ(head.r.state, HTTP_READER_COMPLETE);
+}
+
 TEST(HttpMessage, JoinsChunksAndDropsTrailers)
 {
 	const std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
