http_server, http_client: charge responses until they were read

Callers that ask for long answers and do not read them made the daemon keep up to 8 MB of output for each, and more in one burst, since that limit was checked twice a second; a response above 8 MB was cut. Responses of the target that are not complete had a limit of their own, and none counted the two together.

Responses now charge the account of memory from their first byte at the target to the last byte that the caller's socket takes, also in the mailboxes between the tasks. A caller that has more than 256 KB to read sends no further requests, and one that reads least is disconnected when the room is needed; the limit of 8 MB goes. Large bodies are passed to the output in place of being copied. A paused connection that breaks is closed at once, not after its idle time-out.

--- a/core/msg.c
+++ b/core/msg.c
@@ -129,6 +129,19 @@
 	free(m);
 }
 
+size_t
+msg_reply_bytes(const struct msg *m)
+{
+	switch (m->kind) {
+	case MSG_ANSWER:
+	case MSG_REPLY:
+	case MSG_RUN_DONE:
+		return m->u.reply.headers.len + m->u.reply.body.len;
+	default:
+		return 0;
+	}
+}
+
 struct msg *
 msg_emit(
     struct msg_list *out, enum msg_kind kind, struct addr peer, uint64_t seq)
--- a/core/msg.h
+++ b/core/msg.h
@@ -418,6 +418,11 @@
     struct msg_list *, enum msg_kind, struct addr peer, uint64_t seq);
 /* Destroy every message of a list. */
 void msg_list_clear(struct msg_list *);
+/*
+ * Bytes of the response that a message carries between tasks; the bytes of a
+ * request are charged to the caller's connection, or to the job.
+ */
+size_t msg_reply_bytes(const struct msg *);
 /* The name of a kind for logs, such as "forward"; a constant. */
 const char *msg_kind_name(enum msg_kind);
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -82,7 +82,7 @@
 
 static void
 send_target_response(struct front_task *f, struct http_exchange *ex,
-    const struct call_tag *tag, const struct reply *r)
+    const struct call_tag *tag, struct reply *r)
 {
 	struct evbuffer *headers = evbuffer_new();
 	struct http_response resp = {0};
@@ -92,8 +92,7 @@
 	resp.status = r->status;
 	resp.headers = (const char *)evbuffer_pullup(headers, -1);
 	resp.headers_len = evbuffer_get_length(headers);
-	resp.body = r->body.data;
-	resp.body_len = r->body.len;
+	resp.owned_body = &r->body;
 	http_exchange_respond(ex, &resp);
 	evbuffer_free(headers);
 }
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -21,6 +21,8 @@
  * requests, than this while a call is pending may never stop.
  */
 #define MAX_UNRELATED_MESSAGES 16
+/* What a connection takes beside the response, with its stream and events. */
+#define CONNECTION_OVERHEAD_BYTES 2048
 
 struct http_call {
 	struct http_client *client;
@@ -42,6 +44,7 @@
 	uint64_t idle_until_us; /* an idle connection is closed then */
 	unsigned int unrelated; /* messages dropped during the call */
 	size_t partial_bytes; /* memory of the response being read */
+	struct holder memory;
 	/* stream_bytes_sent() when the request started. */
 	uint64_t sent_bytes_at_start;
 	bool connected;
@@ -76,6 +79,7 @@
 {
 	c->client->partial_bytes += bytes - c->partial_bytes;
 	c->partial_bytes = bytes;
+	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES + bytes);
 }
 
 static void
@@ -90,6 +94,7 @@
 		cl->nidle--;
 	}
 	conn_count_partial(c, 0);
+	holder_release(&c->memory);
 	http_reader_release(&c->reader);
 	stream_destroy(c->stream);
 	free(c);
@@ -239,6 +244,7 @@
 	struct client_conn *c = owner;
 	size_t used;
 
+	holder_moved(&c->memory, len, daemon_now().mono_us);
 	/* There is no request in progress that these bytes could answer. */
 	if (c->call == NULL) {
 		conn_free(c);
@@ -317,6 +323,24 @@
 	call_fail(call->conn, HTTP_TIMED_OUT);
 }
 
+/* End the call whose response takes memory, or close an idle connection. */
+static void
+conn_give_way(void *owner)
+{
+	struct client_conn *c = owner;
+
+	if (c->call == NULL) {
+		conn_free(c);
+		return;
+	}
+	c->client->refused.memory++;
+	call_fail(c, HTTP_BROKEN);
+}
+
+static const struct holder_ops target_holder = {
+    HOLDER_TARGET, false, conn_give_way};
+static const struct holder_ops essential_holder = {HOLDER_TARGET, true, NULL};
+
 static struct client_conn *
 conn_create(struct http_client *cl)
 {
@@ -329,6 +353,10 @@
 		return NULL;
 	}
 	c->new_connection = true;
+	holder_init(&c->memory, cl->settings.memory,
+	    cl->settings.is_essential ? &essential_holder : &target_holder, c,
+	    daemon_now().mono_us);
+	conn_count_partial(c, 0);
 	http_reader_init(&c->reader, HTTP_READ_RESPONSE, &cl->settings.limits);
 	return c;
 }
@@ -356,7 +384,10 @@
 write_request(struct client_conn *c, const struct http_request *r)
 {
 	struct evbuffer *out = stream_output(c->stream);
-	bool has_length = r->body_len > 0 || strcmp(r->method, "POST") == 0 ||
+	size_t body_len =
+	    r->shared_body != NULL ? r->shared_body->len : r->body_len;
+	struct buffer shared = {0};
+	bool has_length = body_len > 0 || strcmp(r->method, "POST") == 0 ||
 			  strcmp(r->method, "PUT") == 0 ||
 			  strcmp(r->method, "PATCH") == 0;
 	char line[64];
@@ -371,12 +402,16 @@
 		evbuffer_add(out, r->headers, r->headers_len);
 	if (has_length) {
 		len = snprintf(
-		    line, sizeof(line), "Content-Length: %zu\r\n", r->body_len);
+		    line, sizeof(line), "Content-Length: %zu\r\n", body_len);
 		evbuffer_add(out, line, (size_t)len);
 	}
 	evbuffer_add(out, "\r\n", 2);
-	if (r->body_len > 0)
-		evbuffer_add(out, r->body, r->body_len);
+	if (r->shared_body != NULL) {
+		buffer_share(&shared, r->shared_body);
+		stream_append_buffer(out, &shared);
+	} else if (body_len > 0) {
+		evbuffer_add(out, r->body, body_len);
+	}
 	stream_flush(c->stream);
 }
 
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -16,6 +16,7 @@
 
 #include <event2/event.h>
 
+#include "core/account.h"
 #include "daemon/http_message.h"
 
 struct http_client;
@@ -35,6 +36,13 @@
 	 * ends as HTTP_BROKEN, for the peer may send without end.
 	 */
 	size_t max_partial_bytes;
+	/*
+	 * The account of memory that responses charge while they arrive; NULL:
+	 * none.  A call that has to give way ends as HTTP_BROKEN, unless the
+	 * client is essential.
+	 */
+	struct account *memory;
+	bool is_essential;
 };
 
 /* A request to send; http_client_send() copies what it needs. */
@@ -48,6 +56,11 @@
 	size_t headers_len;
 	const char *body;
 	size_t body_len;
+	/*
+	 * In place of body: a buffer to share until it was sent, which others
+	 * charge; NULL: none.
+	 */
+	struct buffer *shared_body;
 	uint64_t timeout_us; /* until the response must be complete */
 	/*
 	 * Whether a message is the response to this request; NULL: any message
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -17,8 +17,8 @@
 #define CLOSE_LINGER_US (1 * SEC_US)
 /* Buffer for the status line and the headers that the server itself adds. */
 #define RESPONSE_HEAD_BYTES 256
-/* Output that the peer does not read, above which its connection is closed. */
-#define MAX_OUTPUT_BYTES (8u << 20)
+/* Output that the peer has not read, above which its requests are not read. */
+#define MAX_OUTPUT_BYTES (256u << 10)
 /*
  * What a connection takes beside the bytes that it keeps: its stream and
  * events, and for each request what the core keeps of the call.
@@ -273,6 +273,14 @@
 	}
 }
 
+/* Whether the peer has to read responses before it may send more requests. */
+static bool
+must_pause(const struct http_conn *c)
+{
+	return c->nexchanges >= MAX_PIPELINED_REQUESTS ||
+	       stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES;
+}
+
 /* Keep bytes that cannot be parsed yet and stop reading. */
 static void
 pause_reading(struct http_conn *c, const char *data, size_t len)
@@ -288,7 +296,7 @@
 	size_t used;
 
 	while (len > 0 && !c->ending) {
-		if (c->nexchanges >= MAX_PIPELINED_REQUESTS) {
+		if (must_pause(c)) {
 			pause_reading(c, data, len);
 			return;
 		}
@@ -313,18 +321,24 @@
 {
 	struct http_conn *c = owner;
 
+	/* The connection is broken, and its end will be reported. */
+	if (c->paused)
+		return;
 	c->last_active_us = daemon_now().mono_us;
 	holder_moved(&c->memory, len, c->last_active_us);
 	conn_parse(c, data, len);
 	conn_charge(c);
 }
 
+static void conn_resume_reading(struct http_conn *);
+
 static void
 on_sent(void *owner, size_t len)
 {
 	struct http_conn *c = owner;
 
 	holder_moved(&c->memory, len, daemon_now().mono_us);
+	conn_resume_reading(c);
 	conn_charge(c);
 }
 
@@ -340,14 +354,15 @@
 
 /*
  * Parse the bytes that were kept and resume reading, once fewer than half of
- * MAX_PIPELINED_REQUESTS are unanswered.
+ * MAX_PIPELINED_REQUESTS are unanswered and the output is short again.
  */
 static void
 conn_resume_reading(struct http_conn *c)
 {
 	struct buffer unparsed = c->unparsed;
 
-	if (!c->paused || c->nexchanges >= MAX_PIPELINED_REQUESTS / 2)
+	if (!c->paused || c->nexchanges >= MAX_PIPELINED_REQUESTS / 2 ||
+	    stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES)
 		return;
 	c->paused = false;
 	memset(&c->unparsed, 0, sizeof(c->unparsed));
@@ -370,6 +385,8 @@
     struct http_exchange *ex, const struct http_response *resp)
 {
 	bool no_body = has_no_body(ex, resp->status);
+	size_t body_len =
+	    resp->owned_body != NULL ? resp->owned_body->len : resp->body_len;
 	struct http_conn *c = ex->conn;
 	char head[RESPONSE_HEAD_BYTES], length[64] = "";
 	int len;
@@ -380,7 +397,7 @@
 		conn_begin_close(c);
 	if (!no_body)
 		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
-		    resp->body_len);
+		    body_len);
 	len = snprintf(head, sizeof(head), "HTTP/1.1 %d %s\r\n%s%s",
 	    resp->status, http_status_text(resp->status), length,
 	    ex->closes_conn ? "Connection: close\r\n" : "");
@@ -391,8 +408,10 @@
 	if (resp->headers_len > 0)
 		evbuffer_add(ex->response, resp->headers, resp->headers_len);
 	evbuffer_add(ex->response, "\r\n", 2);
-	if (resp->body_len > 0 && !no_body)
-		evbuffer_add(ex->response, resp->body, resp->body_len);
+	if (resp->owned_body != NULL && !no_body)
+		stream_append_buffer(ex->response, resp->owned_body);
+	else if (body_len > 0 && !no_body)
+		evbuffer_add(ex->response, resp->body, body_len);
 	exchange_set_held(ex, sizeof(*ex) + evbuffer_get_length(ex->response));
 	http_message_release(&ex->request);
 	conn_send_responses(c);
@@ -444,20 +463,12 @@
 	conn_charge(c);
 }
 
-static bool
-has_too_much_output(const struct http_conn *c)
-{
-	return stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES;
-}
-
-/* Whether a timeout or the output limit of a connection is exceeded. */
+/* Whether a timeout of a connection is over. */
 static bool
 must_close(const struct http_conn *c, uint64_t now_us)
 {
 	const struct http_server_settings *set = &c->server->settings;
 
-	if (has_too_much_output(c))
-		return true;
 	if (c->ending && TAILQ_EMPTY(&c->exchanges) &&
 	    stream_bytes_pending(c->stream) == 0)
 		return now_us - c->ending_since_us > CLOSE_LINGER_US;
@@ -498,8 +509,7 @@
 	(void)fd;
 	(void)what;
 	LIST_FOREACH_SAFE (c, &s->conns, entry, next) {
-		if (must_close(c, now_us) &&
-		    (has_too_much_output(c) || !has_read_on(c, now_us)))
+		if (must_close(c, now_us) && !has_read_on(c, now_us))
 			conn_free(c, true);
 	}
 }
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -54,6 +54,8 @@
 	size_t headers_len;
 	const char *body;
 	size_t body_len;
+	/* In place of body, and released by the server; NULL: none. */
+	struct buffer *owned_body;
 	bool close; /* close the connection after this response */
 };
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -238,6 +238,11 @@
 	if (d->announce_protocol != NULL)
 		d->announce = announce_task_create(d);
 	d->front = front_task_create(d);
+	task_set_account(d->decide, d->memory);
+	if (d->link != NULL)
+		task_set_account(d->link, d->memory);
+	if (d->front != NULL)
+		task_set_account(d->front, d->memory);
 	return d->link != NULL && d->operators != NULL && d->front != NULL &&
 	       d->probe != NULL &&
 	       (d->announce_protocol == NULL || d->announce != NULL);
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -128,6 +128,8 @@
 	    .max_idle_connections = MAX_IDLE_CONNECTIONS,
 	    .idle_timeout_us = IDLE_TIMEOUT_US,
 	    .max_partial_bytes = MAX_PARTIAL_BYTES,
+	    .memory = p->daemon->memory,
+	    .is_essential = true,
 	};
 	struct row_query *q;
 
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -18,6 +18,8 @@
 /* A connection with sent data unacknowledged for this long is broken. */
 #define UNACKED_TIMEOUT_MS 2000
 #define LISTEN_BACKLOG 1024
+/* A smaller buffer is copied to the output, which is cheaper. */
+#define MIN_REFERENCED_BYTES 4096
 
 struct stream {
 	const struct stream_ops *ops;
@@ -105,6 +107,8 @@
 			evbuffer_drain(st->out, evbuffer_get_length(st->out));
 			shutdown(st->fd, SHUT_RDWR);
 			set_write_event(st, false);
+			/* It may have been paused. */
+			event_add(&st->read_ev, NULL);
 			return;
 		}
 		set_write_event(st, true);
@@ -255,6 +259,33 @@
 	event_active(&st->flush_ev, EV_TIMEOUT, 0);
 }
 
+static void
+release_reference(const void *data, size_t len, void *arg)
+{
+	struct buffer *b = arg;
+
+	(void)data;
+	(void)len;
+	buffer_release(b);
+	free(b);
+}
+
+void
+stream_append_buffer(struct evbuffer *out, struct buffer *b)
+{
+	struct buffer *kept;
+
+	if (b->len < MIN_REFERENCED_BYTES) {
+		evbuffer_add(out, b->data, b->len);
+		buffer_release(b);
+		return;
+	}
+	kept = xcalloc(1, sizeof(*kept));
+	buffer_move(kept, b);
+	evbuffer_add_reference(
+	    out, kept->data, kept->len, release_reference, kept);
+}
+
 void
 stream_write(struct stream *st, const void *data, size_t len)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -68,6 +68,11 @@
  * then calls stream_flush().
  */
 struct evbuffer *stream_output(struct stream *);
+/*
+ * Append a buffer, which is released, to the output of a stream or to another
+ * evbuffer.  A large one is not copied.
+ */
+void stream_append_buffer(struct evbuffer *, struct buffer *);
 /* Send the output from the event loop. */
 void stream_flush(struct stream *);
 /* Bytes in the output that the kernel has not taken yet. */
@@ -87,7 +92,11 @@
 uint64_t stream_bytes_acked(const struct stream *);
 /* Whether the peer has acknowledged all output. */
 bool stream_is_flushed(const struct stream *);
-/* Stop or resume reading; no effect while the stream is connecting. */
+/*
+ * Stop or resume reading; no effect while the stream is connecting.  Once the
+ * connection is found broken, what was received is read all the same, to its
+ * end.
+ */
 void stream_pause(struct stream *, bool paused);
 
 /*
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -106,7 +106,7 @@
 static void
 start_request(struct target_task *t, struct msg *m)
 {
-	const struct forward *f = &m->u.forward;
+	struct forward *f = &m->u.forward;
 	struct evbuffer *headers;
 	struct http_request req;
 	struct target_request *r;
@@ -127,8 +127,7 @@
 	req.path = f->request.path;
 	req.headers = (const char *)evbuffer_pullup(headers, -1);
 	req.headers_len = evbuffer_get_length(headers);
-	req.body = f->request.body.data;
-	req.body_len = f->request.body.len;
+	req.shared_body = &f->request.body;
 	req.timeout_us = f->context.deadline_ms * MSEC_US;
 	req.is_response = is_response;
 	req.keeps_connection = keeps_connection;
@@ -184,6 +183,7 @@
 	set.max_idle_connections = t->daemon->settings->max_idle_connections;
 	set.idle_timeout_us = IDLE_TIMEOUT_US;
 	set.max_partial_bytes = t->daemon->settings->max_partial_bytes;
+	set.memory = t->daemon->memory;
 	t->addr = at;
 	t->http = http_client_create(t->daemon->base, at, &set);
 }
--- a/daemon/task.c
+++ b/daemon/task.c
@@ -8,8 +8,11 @@
 	const struct task_ops *ops;
 	const char *name;
 	void *state;
+	struct holder memory; /* responses in the mailbox */
 };
 
+static const struct holder_ops mailbox_holder = {HOLDER_MAILBOX, false, NULL};
+
 static void
 deliver_messages(evutil_socket_t fd, short what, void *arg)
 {
@@ -23,6 +26,7 @@
 	TAILQ_CONCAT(&batch, &t->mailbox, entry);
 	while ((m = TAILQ_FIRST(&batch)) != NULL) {
 		TAILQ_REMOVE(&batch, m, entry);
+		holder_set(&t->memory, t->memory.held - msg_reply_bytes(m));
 		t->ops->receive(t->state, m);
 	}
 }
@@ -37,17 +41,26 @@
 	t->ops = ops;
 	t->name = name;
 	t->state = state;
+	task_set_account(t, NULL);
 	t->wake_event = event_new(base, -1, 0, deliver_messages, t);
 	if (t->wake_event == NULL)
 		abort();
 	return t;
 }
 
+void
+task_set_account(struct task *t, struct account *memory)
+{
+	holder_init(
+	    &t->memory, memory, &mailbox_holder, t, 0 /* gives no way */);
+}
+
 void
 task_destroy(struct task *t)
 {
 	if (t == NULL)
 		return;
+	holder_release(&t->memory);
 	event_free(t->wake_event);
 	t->ops->destroy(t->state);
 	msg_list_clear(&t->mailbox);
@@ -60,6 +73,7 @@
 	bool idle = TAILQ_EMPTY(&t->mailbox);
 
 	TAILQ_INSERT_TAIL(&t->mailbox, m, entry);
+	holder_set(&t->memory, t->memory.held + msg_reply_bytes(m));
 	if (idle)
 		event_active(t->wake_event, EV_TIMEOUT, 0);
 }
--- a/daemon/task.h
+++ b/daemon/task.h
@@ -16,6 +16,7 @@
 
 #include <event2/event.h>
 
+#include "core/account.h"
 #include "core/msg.h"
 
 struct task;
@@ -33,6 +34,11 @@
  */
 struct task *task_create(struct event_base *, const char *name,
     const struct task_ops *, void *state);
+/*
+ * Charge an account of memory with the responses in the mailbox; NULL: none.
+ * The account must outlive the task.
+ */
+void task_set_account(struct task *, struct account *);
 /* Destroy the state and the messages not yet received; NULL is allowed. */
 void task_destroy(struct task *);
 /*
--- a/t/standin-crowd.c
+++ b/t/standin-crowd.c
@@ -205,7 +205,7 @@
 			printf("status %d %u\n", i, w->statuses[i]);
 	}
 	fflush(stdout);
-	exit(0);
+	_exit(0); /* with connections open, as a process that is killed */
 }
 
 static void
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -472,6 +472,19 @@
 		return fd;
 	}
 
+	/* Read what there is; returns how many bytes that was. */
+	size_t
+	drain(int fd)
+	{
+		static char buf[65536];
+		size_t got = 0;
+		ssize_t n;
+
+		while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+			got += (size_t)n;
+		return got;
+	}
+
 	struct account *memory;
 	int refused_heads = 0;
 };
@@ -554,6 +567,70 @@
 	EXPECT_EQ(http_server_connection_count(server), 0u);
 }
 
+/* Requests whose responses would wait behind unread ones are not read. */
+TEST_F(FullServer, RequestsOfACallerThatDoesNotReadWait)
+{
+	int fd = connect_to_server(), small = 262144;
+
+	account_set_limit(memory, 100 << 20, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	respond(0, std::string(12 << 20, 'x'));
+	run_ms(50);
+	send_text(fd, GET);
+	run_ms(50);
+	EXPECT_EQ(exchanges.size(), 1u);
+	EXPECT_TRUE(run_until([&] {
+		drain(fd);
+		return exchanges.size() == 2;
+	}));
+}
+
+TEST_F(FullServer, ACallerThatLeavesIsNoticedWhileItIsPaused)
+{
+	int fd = connect_to_server(), small = 4096;
+
+	account_set_limit(memory, 100 << 20, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(2));
+	respond(0, std::string(8 << 20, 'x'));
+	run_ms(20);
+	send_text(fd, GET);
+	run_ms(20);
+	EXPECT_EQ(exchanges.size(), 2u);
+	close_socket(fd, true);
+	EXPECT_TRUE(run_until([&] { return disconnects == 1; }));
+	EXPECT_EQ(http_server_connection_count(server), 0u);
+}
+
+TEST_F(FullServer, ACallerThatDoesNotReadIsDisconnected)
+{
+	int unread = connect_to_server(), small = 4096, other;
+	size_t got = 0;
+
+	setsockopt(unread, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	account_set_limit(memory, 13 << 20, 0);
+	send_text(unread, GET);
+	ASSERT_TRUE(await_requests(1));
+	respond(0, std::string(12 << 20, 'x'));
+	run_ms(500);
+	other = connect_to_server();
+	send_text(other, GET);
+	ASSERT_TRUE(await_requests(2));
+	respond(1, std::string(12 << 20, 'x') + "end");
+	run_ms(20);
+	EXPECT_EQ(account_state(memory)->gave_way[HOLDER_CALLER], 1u);
+	EXPECT_EQ(http_server_connection_count(server), 1u);
+	EXPECT_TRUE(run_until([&] {
+		got += drain(other);
+		return got > 12u << 20;
+	}));
+}
+
 TEST_F(FullServer, StartsOfHeadsAreChargedAndRefused)
 {
 	std::vector<int> all;
