--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,8 @@
 	  verdict window
 WIRE	= context frame_decode frame_encode http_syntax httpmap link.pb-c
 CONFIG	= catalog_ini ini settings
-DAEMON	= announce decide dialect dialect_native flush front http_client \
-	  http_message http_server holdings link log main operators platform probe \
+DAEMON	= announce body decide dialect dialect_native flush front http_client \
+	  http_message http_server holdings link log main operators pieces platform probe \
 	  rows_native stream target task
 PLATFORM = announce dialect json_list manifest rows
 CLI	= cranberryway line_diff request builtin/check builtin/diff \
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -272,6 +272,12 @@
 	return TAILQ_NEXT(rec, by_age);
 }
 
+size_t
+ledger_reply_bytes(const struct ledger *l)
+{
+	return l->reply_bytes;
+}
+
 size_t
 ledger_count(const struct ledger *l)
 {
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -138,6 +138,8 @@
  * and NULL is returned after the last.
  */
 struct ledger_record *ledger_next(struct ledger *, struct ledger_record *);
+/* Bytes of headers and bodies that all replies take. */
+size_t ledger_reply_bytes(const struct ledger *);
 /* The number of records. */
 size_t ledger_count(const struct ledger *);
 
--- a/core/msg.c
+++ b/core/msg.c
@@ -20,6 +20,7 @@
     [MSG_CONFIG] = "config",
     [MSG_SHARE_ASK] = "share-ask",
     [MSG_SHARE] = "share",
+    [MSG_PIECE] = "piece",
     [MSG_LINK_DOWN] = "link-down",
     [MSG_RUN] = "run",
     [MSG_RUN_DONE] = "run-done",
@@ -53,6 +54,7 @@
 	    [MSG_ANSWER] = sizeof(struct reply),
 	    [MSG_FORWARD] = sizeof(struct forward),
 	    [MSG_REPLY] = sizeof(struct reply),
+	    [MSG_PIECE] = sizeof(struct piece),
 	    [MSG_ASK_FATE] = sizeof(struct fate),
 	    [MSG_FATE] = sizeof(struct fate),
 	    [MSG_MEMBERS_ASK] = sizeof(struct members_ask),
@@ -103,6 +105,9 @@
 	case MSG_RUN_DONE:
 		reply_release(&m->u.reply);
 		break;
+	case MSG_PIECE:
+		buffer_release(&m->u.piece.data);
+		break;
 	case MSG_MEMBERS:
 		free(m->u.members.records);
 		buffer_release(&m->u.members.owners_text);
--- a/core/msg.h
+++ b/core/msg.h
@@ -49,6 +49,8 @@
 	MSG_CONFIG, /* a version of the configuration, and its text */
 	MSG_SHARE_ASK, /* asks to be granted shares of rates, or renews them */
 	MSG_SHARE, /* the shares that are granted */
+	/* Between the link tasks of two daemons: */
+	MSG_PIECE, /* the next bytes of a body that follows its message */
 	/* From the link task to the core: */
 	MSG_LINK_DOWN, /* a link was lost or could not be made */
 	/* Between the core and the target task: */
@@ -161,6 +163,13 @@
 	struct request request;
 };
 
+/* The next bytes of a body, of the MSG_FORWARD or MSG_REPLY with that seq. */
+struct piece {
+	bool of_reply; /* of the MSG_REPLY */
+	bool dropped; /* instead: the rest of the body will not follow */
+	struct buffer data;
+};
+
 /* What became of a try, as the target's daemon answers. */
 enum fate_state {
 	FATE_TOMBSTONE, /* it was never seen, and will be refused if it comes */
@@ -390,10 +399,21 @@
 	bool may_have_sent;
 	bool unsent_reported;
 	bool queued_only; /* for MSG_CANCEL: only if the call still waits */
+	/*
+	 * For MSG_FORWARD and MSG_REPLY on a link: how many bytes of the body
+	 * follow in MSG_PIECE; 0: the message has its body.
+	 */
+	uint64_t body_follows;
+	/*
+	 * For MSG_RUN: the request's body is charged to the account of memory
+	 * by the connection of a local caller.
+	 */
+	bool body_is_charged;
 	union {
 		struct call call;
 		struct reply reply;
 		struct forward forward;
+		struct piece piece;
 		struct fate fate;
 		struct members_ask members_ask;
 		struct members members;
--- a/core/node.c
+++ b/core/node.c
@@ -31,6 +31,10 @@
 /* After this part its process ends, whatever it still has to send. */
 #define DRAIN_EXIT_GRACE_PERCENT 95
 
+/* Neither gives way: the one is bounded, and the other short-lived. */
+static const struct holder_ops ledger_holder = {HOLDER_LEDGER, false, NULL};
+static const struct holder_ops awaiting_holder = {HOLDER_JOB, false, NULL};
+
 struct node *
 node_create(const struct node_setup *setup)
 {
@@ -61,6 +65,8 @@
 	RB_INIT(&n->jobs);
 	TAILQ_INIT(&n->loopback);
 	TAILQ_INIT(&n->awaiting_proof);
+	holder_init(&n->awaiting_memory, setup->memory, &awaiting_holder, n, 0);
+	holder_init(&n->ledger_memory, setup->memory, &ledger_holder, n, 0);
 	pool_init(&n->pool);
 	return n;
 }
@@ -83,6 +89,8 @@
 	entry_calls_destroy(n);
 	serve_destroy(n);
 	msg_list_clear(&n->awaiting_proof);
+	holder_release(&n->awaiting_memory);
+	holder_release(&n->ledger_memory);
 	membership_destroy(n);
 	ledger_destroy(n->ledger);
 	decision_log_destroy(n->decision_log);
@@ -347,6 +355,7 @@
 	pool_grant_waiting(n, now, &fresh);
 	control_grant_waiting(n, now, &fresh);
 	serve_tick(n, now, &fresh);
+	holder_set(&n->ledger_memory, ledger_reply_bytes(n->ledger));
 	if (n->last_slow_tick_us == 0 ||
 	    now.mono_us - n->last_slow_tick_us >= SLOW_TICK_INTERVAL_US) {
 		control_tick(n, now, &fresh);
--- a/core/node.h
+++ b/core/node.h
@@ -25,6 +25,7 @@
 #ifndef CORE_NODE_H
 #define CORE_NODE_H
 
+#include "core/account.h"
 #include "core/balance.h"
 #include "core/confstate.h"
 #include "core/counters.h"
@@ -84,6 +85,8 @@
 	uint64_t key_max_config_age_us;
 	/* The fraction of the target's slots that is left free, 0 to 1. */
 	double headroom_fraction;
+	/* The account of memory, which outlives the node; NULL: none. */
+	struct account *memory;
 };
 
 struct node;
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -119,6 +119,9 @@
 	uint64_t deadline_us;
 	uint32_t allowance; /* extra tries that its sub-calls may use */
 	uint32_t tries; /* made for its sub-calls */
+	struct node *node;
+	struct holder memory; /* of the request while it waits */
+	bool gave_way; /* to be refused */
 };
 
 RB_HEAD(entry_by_front_seq, entry_call);
@@ -196,6 +199,9 @@
 	struct msg_list loopback; /* messages from this daemon to itself */
 	/* MSG_FORWARD messages that wait for proof that we own their id. */
 	struct msg_list awaiting_proof;
+	struct holder awaiting_memory; /* of their requests */
+	struct holder ledger_memory; /* of the replies that it keeps */
+	bool jobs_gave_way; /* some job has, see serve_refuse_gave_way() */
 	struct announce_outcome announce_outcome; /* for the log */
 	/* The row that was ignored last, and why; for the log. */
 	char odd_row[ROW_KEY_LEN + 64];
@@ -277,6 +283,8 @@
 /* Refuse a forwarded call for which no job was made. */
 void serve_refuse_forward(struct node *, const struct msg *, enum reason,
     struct instant, struct msg_list *);
+/* Refuse the jobs that had to free the memory of their requests. */
+void serve_refuse_gave_way(struct node *, struct instant, struct msg_list *);
 /* Refuse all jobs that wait, as the target leaves and will not run them. */
 void serve_refuse_queued(
     struct node *, enum reason, struct instant, struct msg_list *);
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -63,13 +63,21 @@
 ownership_await_proof(struct node *n, struct group *g, struct msg *msg,
     struct instant now, struct msg_list *out)
 {
-	struct msg *m = msg_create(MSG_FORWARD);
+	struct msg *m;
 
+	if (n->setup.memory != NULL && account_is_over(n->setup.memory)) {
+		serve_refuse_forward(n, msg, REASON_NO_PROOF, now, out);
+		return;
+	}
+	m = msg_create(MSG_FORWARD);
 	m->peer = msg->peer;
 	m->seq = msg->seq;
 	m->u.forward = msg->u.forward;
 	memset(&msg->u.forward.request, 0, sizeof(msg->u.forward.request));
 	TAILQ_INSERT_TAIL(&n->awaiting_proof, m, entry);
+	holder_set(&n->awaiting_memory, n->awaiting_memory.held +
+					    m->u.forward.request.headers.len +
+					    m->u.forward.request.body.len);
 	read_row(n, g, now, out);
 }
 
@@ -82,6 +90,7 @@
 	struct msg *m;
 
 	TAILQ_CONCAT(&list, &n->awaiting_proof, entry);
+	holder_set(&n->awaiting_memory, 0);
 	while ((m = TAILQ_FIRST(&list)) != NULL) {
 		TAILQ_REMOVE(&list, m, entry);
 		if (answered)
--- a/core/serve.c
+++ b/core/serve.c
@@ -48,9 +48,31 @@
 	return RB_FIND(job_tree, &n->jobs, &want);
 }
 
+/* What the core keeps for a request from another host. */
+static size_t
+forward_bytes(const struct forward *f)
+{
+	return sizeof(struct job) + f->request.headers.len +
+	       f->request.body.len;
+}
+
+/* The job is refused soon, in serve_refuse_gave_way(). */
+static void
+job_give_way(void *owner)
+{
+	struct job *j = owner;
+
+	j->gave_way = true;
+	j->node->jobs_gave_way = true;
+	holder_set(&j->memory, 0);
+}
+
+static const struct holder_ops job_holder = {HOLDER_JOB, false, job_give_way};
+
 static void
 job_free(struct node *n, struct job *j)
 {
+	holder_release(&j->memory);
 	RB_REMOVE(job_tree, &n->jobs, j);
 	n->njobs--;
 	request_release(&j->forward.request);
@@ -377,6 +399,11 @@
 	    sizeof(j->queue_item.org));
 	RB_INSERT(job_tree, &n->jobs, j);
 	n->njobs++;
+	j->node = n;
+	holder_init(&j->memory, n->setup.memory, &job_holder, j, now.mono_us);
+	/* The request of a local caller is charged by its connection. */
+	if (!addr_equal(j->entry_daemon, n->setup.self))
+		holder_set(&j->memory, forward_bytes(&j->forward));
 	return j;
 }
 
@@ -439,7 +466,9 @@
 	n->target.running++;
 	histogram_add(&n->queue_wait, now.mono_us - j->queue_item.queued_us);
 	n->counters.values[COUNT_JOBS_STARTED]++;
+	holder_set(&j->memory, 0);
 	m = msg_emit(out, MSG_RUN, n->setup.self, j->seq);
+	m->body_is_charged = addr_equal(j->entry_daemon, n->setup.self);
 	m->u.forward = j->forward;
 	memset(&m->u.forward.request, 0, sizeof(m->u.forward.request));
 	request_move(&m->u.forward.request, &j->forward.request);
@@ -644,6 +673,22 @@
 	}
 }
 
+void
+serve_refuse_gave_way(struct node *n, struct instant now, struct msg_list *out)
+{
+	struct job *j, *next;
+
+	if (!n->jobs_gave_way)
+		return;
+	n->jobs_gave_way = false;
+	RB_FOREACH_SAFE (j, job_tree, &n->jobs, next) {
+		if (!j->gave_way || j->started_us != 0)
+			continue;
+		shed_remove(n->target.queue, &j->queue_item);
+		refuse_job(n, j, REASON_SHED, now, out);
+	}
+}
+
 /* Refuse calls that expired in the queue, also while none may start. */
 static void
 expire_queue(struct node *n, struct instant now, struct msg_list *out)
@@ -692,6 +737,7 @@
 {
 	if (n->target.queue == NULL)
 		return;
+	serve_refuse_gave_way(n, now, out);
 	start_queued(n, now, out);
 	expire_queue(n, now, out);
 }
--- a/daemon/holdings.c
+++ b/daemon/holdings.c
@@ -11,9 +11,9 @@
  * Part of the process's memory that may be held for others.  The rest is for
  * the code, the configuration, the members and what the allocator wastes.
  */
-#define HELD_PERCENT 50
+#define HELD_PERCENT 45
 /* Part of that which is reserved for links, the platform and the operators. */
-#define RESERVED_PERCENT 10
+#define RESERVED_PERCENT 5
 #define BYTES_PER_MB 1000000
 /* Above and below these parts of the limit a line is logged. */
 #define SHORT_PERCENT 90
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -45,6 +45,7 @@
 	unsigned int unrelated; /* messages dropped during the call */
 	size_t partial_bytes; /* memory of the response being read */
 	struct holder memory;
+	bool output_is_charged; /* elsewhere */
 	/* stream_bytes_sent() when the request started. */
 	uint64_t sent_bytes_at_start;
 	bool connected;
@@ -74,12 +75,23 @@
 	struct event *sweep;
 };
 
+/* Charge the account of memory with what is kept for the connection now. */
+static void
+conn_charge(struct client_conn *c)
+{
+	size_t unsent =
+	    c->output_is_charged ? 0 : stream_bytes_pending(c->stream);
+
+	holder_set(&c->memory,
+	    sizeof(*c) + CONNECTION_OVERHEAD_BYTES + c->partial_bytes + unsent);
+}
+
 static void
 conn_count_partial(struct client_conn *c, size_t bytes)
 {
 	c->client->partial_bytes += bytes - c->partial_bytes;
 	c->partial_bytes = bytes;
-	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES + bytes);
+	conn_charge(c);
 }
 
 static void
@@ -310,8 +322,21 @@
 	c->connected = true;
 }
 
+static void
+on_sent(void *owner, size_t len)
+{
+	struct client_conn *c = owner;
+
+	holder_moved(&c->memory, len, daemon_now().mono_us);
+	conn_charge(c);
+}
+
 static const struct stream_ops stream_ops = {
-    .read = on_read, .closed = on_closed, .connected = on_connected};
+    .read = on_read,
+    .closed = on_closed,
+    .connected = on_connected,
+    .sent = on_sent,
+};
 
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -412,6 +437,8 @@
 	} else if (body_len > 0) {
 		evbuffer_add(out, r->body, body_len);
 	}
+	c->output_is_charged = r->body_is_charged;
+	conn_charge(c);
 	stream_flush(c->stream);
 }
 
@@ -439,6 +466,7 @@
 	c->unrelated = 0;
 	c->reader.no_body = strcmp(r->method, "HEAD") == 0;
 	TAILQ_INSERT_TAIL(&cl->busy, c, entry);
+	holder_finished(&c->memory, daemon_now().mono_us);
 	write_request(c, r);
 	return call;
 }
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -56,11 +56,10 @@
 	size_t headers_len;
 	const char *body;
 	size_t body_len;
-	/*
-	 * In place of body: a buffer to share until it was sent, which others
-	 * charge; NULL: none.
-	 */
+	/* In place of body: a buffer to share until it was sent; NULL: none. */
 	struct buffer *shared_body;
+	/* The body is charged elsewhere as long as the call takes. */
+	bool body_is_charged;
 	uint64_t timeout_us; /* until the response must be complete */
 	/*
 	 * Whether a message is the response to this request; NULL: any message
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -3,14 +3,10 @@
 #include <string.h>
 #include <strings.h>
 
+#include "daemon/body.h"
 #include "daemon/http_message.h"
 
 #define INITIAL_TEXT_BYTES 1024 /* first allocation for a message's text */
-/*
- * A body above this size is enlarged by an eighth at a time in place of being
- * doubled.
- */
-#define LARGE_BODY_BYTES (64u << 10)
 /* No request asks for another protocol. */
 #define STATUS_SWITCHING_PROTOCOLS 101
 /* Tells the library at the end of the head that there is no body. */
@@ -32,22 +28,6 @@
 	*cap = n;
 }
 
-/* Enlarge the memory of a body to at least want bytes. */
-static void
-grow_body(struct http_message *m, size_t want, size_t initial)
-{
-	if (want <= LARGE_BODY_BYTES) {
-		grow(&m->body, &m->body_cap, want, initial);
-		return;
-	}
-	if (want <= m->body_cap)
-		return;
-	m->body_cap = want + want / 8;
-	m->body = realloc(m->body, m->body_cap);
-	if (m->body == NULL)
-		abort();
-}
-
 static void
 text_add(struct http_message *m, const char *at, size_t len)
 {
@@ -254,7 +234,8 @@
 		r->state = HTTP_READER_BODY_TOO_LONG;
 		return -1;
 	}
-	grow_body(m, m->body_len + len + 1, len + 1);
+	m->body_cap =
+	    body_reserve(&m->body, m->body_cap, m->body_len + len + 1, 0);
 	memcpy(m->body + m->body_len, at, len);
 	m->body_len += len;
 	m->body[m->body_len] = '\0';
@@ -425,7 +406,7 @@
 size_t
 http_message_memory(const struct http_message *m)
 {
-	return m->text_cap + m->body_cap;
+	return m->text_cap + body_memory(m->body_len, m->body_cap);
 }
 
 const char *
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -16,6 +16,7 @@
 #include "daemon/daemon.h"
 #include "daemon/flush.h"
 #include "daemon/log.h"
+#include "daemon/pieces.h"
 #include "daemon/stream.h"
 #include "wire/frame.h"
 
@@ -35,6 +36,13 @@
 #define SWEEP_INTERVAL_US (125 * MSEC_US) /* between checks of timeouts */
 /* Output that the peer does not read, above which its link is closed. */
 #define MAX_OUTPUT_BYTES (16u << 20)
+/*
+ * Output below which another piece of a long body is sent.  Other messages wait
+ * behind at most this much.
+ */
+#define PIECES_OUTPUT_BYTES (128u << 10)
+/* What a link takes beside the bytes that it keeps: its stream and events. */
+#define LINK_OVERHEAD_BYTES 2048
 /* A link is closed by the side that opened it after this long unused. */
 #define IDLE_TIMEOUT_US (120 * SEC_US)
 
@@ -50,6 +58,10 @@
 	struct stream *stream;
 	struct evbuffer *input; /* the start of an incomplete frame */
 	struct msg_list queued; /* messages to send once the link is open */
+	size_t queued_bytes; /* of the responses among them */
+	struct pieces *pieces; /* long bodies, both ways */
+	uint32_t peer_piece_bytes; /* as in struct handshake */
+	struct holder memory;
 	struct addr peer; /* unset until an accepted link gets its hello */
 	enum link_state state;
 	bool outgoing; /* opened by this daemon */
@@ -114,7 +126,8 @@
 send_hello(struct link *l)
 {
 	struct handshake h = {.is_hello = true,
-	    .idle_silence_ms = IDLE_SILENCE_TIMEOUT_US / MSEC_US};
+	    .idle_silence_ms = IDLE_SILENCE_TIMEOUT_US / MSEC_US,
+	    .piece_bytes = PIECE_BYTES};
 
 	h.addr = l->task->daemon->settings->link;
 	memcpy(h.nonce, l->nonce, FRAME_NONCE_LEN);
@@ -127,11 +140,43 @@
 	LIST_REMOVE(l, entry);
 	l->task->nlinks--;
 	msg_list_clear(&l->queued);
+	pieces_destroy(l->pieces);
+	holder_release(&l->memory);
 	stream_destroy(l->stream);
 	evbuffer_free(l->input);
 	free(l);
 }
 
+/* Charge the account of memory with what is kept for the link now. */
+static void
+link_charge(struct link *l)
+{
+	holder_set(&l->memory,
+	    sizeof(*l) + LINK_OVERHEAD_BYTES + evbuffer_get_length(l->input) +
+		l->queued_bytes + stream_bytes_pending(l->stream));
+}
+
+static void
+link_enqueue(struct link *l, struct msg *m)
+{
+	l->queued_bytes += msg_reply_bytes(m);
+	TAILQ_INSERT_TAIL(&l->queued, m, entry);
+	link_charge(l);
+}
+
+/* Take the first message that waits; NULL: none does. */
+static struct msg *
+link_dequeue(struct link *l)
+{
+	struct msg *m = TAILQ_FIRST(&l->queued);
+
+	if (m == NULL)
+		return NULL;
+	TAILQ_REMOVE(&l->queued, m, entry);
+	l->queued_bytes -= msg_reply_bytes(m);
+	return m;
+}
+
 /* Count the calls that are in progress between the two daemons. */
 static void
 note_message(struct link *l, const struct msg *m)
@@ -182,10 +227,8 @@
 
 	if (to == NULL || to->state != LINK_OPEN)
 		return false;
-	while ((m = TAILQ_FIRST(&from->queued)) != NULL) {
-		TAILQ_REMOVE(&from->queued, m, entry);
+	while ((m = link_dequeue(from)) != NULL)
 		send_message(to, m);
-	}
 	return true;
 }
 
@@ -264,33 +307,116 @@
 	link_free(l);
 }
 
+static void send_frame(struct link *, struct msg *);
+
+/*
+ * Handle a message that is too long for a peer that takes no pieces: a request
+ * has not run, and of a response only the failure is sent.
+ */
 static void
-send_message(struct link *l, struct msg *m)
+refuse_long_message(struct link *l, struct msg *m, size_t bytes)
+{
+	struct msg *reply;
+
+	log_line(LOG_ERR, "frame-too-long", "kind=%s bytes=%zu",
+	    msg_kind_name(m->kind), bytes);
+	if (m->kind == MSG_FORWARD) {
+		reply = msg_create(MSG_REPLY);
+		reply->peer = l->peer;
+		reply->seq = m->seq;
+		reply_fail(&reply->u.reply,
+		    failure_make(VERDICT_NOT_RUN, REASON_SHED));
+		reply->u.reply.allowance = m->u.forward.context.allowance;
+		task_send(l->task->daemon->decide, reply);
+	} else if (m->kind == MSG_REPLY) {
+		reply_release(&m->u.reply);
+		reply_fail(
+		    &m->u.reply, failure_make(VERDICT_RAN, REASON_ANSWER_GONE));
+		send_frame(l, m);
+		return;
+	}
+	msg_destroy(m);
+}
+
+/* Send a message as one frame. */
+static void
+send_frame(struct link *l, struct msg *m)
 {
 	struct buffer buf = {0};
 
 	frame_encode(m, &buf);
-	note_message(l, m);
-	l->last_sent_us = l->last_msg_us;
-	if (buf.len <= FRAME_MAX_BODY_BYTES)
+	l->last_sent_us = l->last_msg_us = daemon_now().mono_us;
+	if (buf.len <= FRAME_MAX_BODY_BYTES) {
 		stream_write(l->stream, buf.data, buf.len);
+		msg_destroy(m);
+	} else {
+		refuse_long_message(l, m, buf.len);
+	}
+	buffer_release(&buf);
+	link_charge(l);
+}
+
+static void
+send_message(struct link *l, struct msg *m)
+{
+	note_message(l, m);
+	if (l->peer_piece_bytes >= PIECE_BYTES && pieces_are_worthwhile(m))
+		pieces_send(l->pieces, m, l->last_msg_us);
 	else
-		log_line(LOG_ERR, "frame-too-long", "kind=%s bytes=%zu",
-		    msg_kind_name(m->kind), buf.len);
-	msg_destroy(m);
+		send_frame(l, m);
+}
+
+static void
+on_send(void *owner, struct msg *m)
+{
+	send_frame(owner, m);
+}
+
+static void
+on_send_piece(
+    void *owner, uint64_t seq, bool of_reply, const void *data, size_t len)
+{
+	struct buffer buf = {0};
+	struct link *l = owner;
+
+	frame_encode_piece(seq, of_reply, data, len, &buf);
+	stream_write(l->stream, buf.data, buf.len);
 	buffer_release(&buf);
+	l->last_sent_us = l->last_msg_us = daemon_now().mono_us;
+	link_charge(l);
+}
+
+static bool
+has_room(void *owner)
+{
+	const struct link *l = owner;
+
+	return stream_bytes_pending(l->stream) < PIECES_OUTPUT_BYTES;
 }
 
+/* Pass a message to the core that has arrived with its body. */
+static void
+on_arrived(void *owner, struct msg *m)
+{
+	struct link *l = owner;
+
+	/* A request was counted when it began to arrive. */
+	if (m->kind == MSG_REPLY)
+		note_message(l, m);
+	task_send(l->task->daemon->decide, m);
+}
+
+static const struct pieces_ops pieces_ops = {
+    on_send, on_send_piece, has_room, on_arrived};
+
 static void
 link_set_open(struct link *l)
 {
 	struct msg *m;
 
 	l->state = LINK_OPEN;
-	while ((m = TAILQ_FIRST(&l->queued)) != NULL) {
-		TAILQ_REMOVE(&l->queued, m, entry);
+	while ((m = link_dequeue(l)) != NULL)
 		send_message(l, m);
-	}
 }
 
 /*
@@ -309,6 +435,7 @@
 		l->peer = h->addr;
 		memcpy(l->peer_nonce, h->nonce, FRAME_NONCE_LEN);
 		l->peer_idle_silence_ms = h->idle_silence_ms;
+		l->peer_piece_bytes = h->piece_bytes;
 		compute_proof(l, true, proof.mac);
 		send_handshake(l, &proof);
 		l->state = LINK_PROOF;
@@ -330,6 +457,38 @@
 	       (data[0] | data[1] | data[2] | data[3]) == 0;
 }
 
+/* Tell the peer that the request which it cancelled has not run. */
+static void
+confirm_cancel(struct link *l, uint64_t seq)
+{
+	struct msg *m = msg_create(MSG_REPLY);
+
+	m->peer = l->peer;
+	m->seq = seq;
+	reply_fail(
+	    &m->u.reply, failure_make(VERDICT_NOT_RUN, REASON_CANCELLED));
+	send_message(l, m);
+}
+
+/* Handle a message of the peer; false: it may not send such a one. */
+static bool
+handle_message(struct link *l, struct msg *m)
+{
+	if (m->kind == MSG_REPLY)
+		pieces_stop_request(l->pieces, m->seq);
+	if (m->kind == MSG_PIECE || m->body_follows != 0) {
+		if (m->kind == MSG_FORWARD)
+			note_message(l, m);
+		return pieces_receive(l->pieces, m, l->last_received_us);
+	}
+	if (m->kind == MSG_CANCEL &&
+	    pieces_cancelled_by_peer(l->pieces, m->seq))
+		confirm_cancel(l, m->seq);
+	note_message(l, m);
+	task_send(l->task->daemon->decide, m);
+	return true;
+}
+
 static enum frame_status
 handle_frame(struct link *l, const uint8_t *data, size_t len, size_t *used)
 {
@@ -351,9 +510,7 @@
 	if (status != FRAME_OK)
 		return status;
 	m->peer = l->peer;
-	note_message(l, m);
-	task_send(l->task->daemon->decide, m);
-	return FRAME_OK;
+	return handle_message(l, m) ? FRAME_OK : FRAME_MALFORMED;
 }
 
 /* Handle all complete frames; returns the bytes used, or -1 on an error. */
@@ -404,6 +561,7 @@
 	ssize_t used;
 
 	l->last_received_us = daemon_now().mono_us;
+	holder_moved(&l->memory, len, l->last_received_us);
 	/*
 	 * Frames are decoded where they were received; only the start of an
 	 * incomplete one is copied, and not decoded until all of it is there.
@@ -420,16 +578,39 @@
 			link_close(l, "frame-too-long");
 			return;
 		}
-		if (len < frame_length(l->input))
+		if (len < frame_length(l->input)) {
+			link_charge(l);
 			return;
+		}
 		used = handle_frames(l, evbuffer_pullup(l->input, -1), len);
 		if (used > 0)
 			evbuffer_drain(l->input, (size_t)used);
 	}
 	if (used < 0)
 		link_close(l, "bad-frame");
+	else
+		link_charge(l);
+}
+
+static void
+on_sent(void *owner, size_t len)
+{
+	uint64_t now_us = daemon_now().mono_us;
+	struct link *l = owner;
+
+	holder_moved(&l->memory, len, now_us);
+	pieces_push(l->pieces, now_us);
+	link_charge(l);
+}
+
+static void
+link_give_way(void *owner)
+{
+	link_close(owner, "memory");
 }
 
+static const struct holder_ops link_holder = {HOLDER_LINK, true, link_give_way};
+
 static void
 on_closed(void *owner, enum stream_end end)
 {
@@ -443,7 +624,11 @@
 }
 
 static const struct stream_ops stream_ops = {
-    .read = on_read, .closed = on_closed, .connected = on_connected};
+    .read = on_read,
+    .closed = on_closed,
+    .connected = on_connected,
+    .sent = on_sent,
+};
 
 static struct link *
 link_create(struct link_task *s, bool outgoing)
@@ -456,6 +641,9 @@
 	    daemon_now().mono_us;
 	l->input = evbuffer_new();
 	TAILQ_INIT(&l->queued);
+	l->pieces = pieces_create(s->daemon->memory, &pieces_ops, l);
+	holder_init(
+	    &l->memory, s->daemon->memory, &link_holder, l, l->created_us);
 	randombytes_buf(l->nonce, sizeof(l->nonce));
 	return l;
 }
@@ -465,6 +653,7 @@
 {
 	LIST_INSERT_HEAD(&s->links, l, entry);
 	s->nlinks++;
+	link_charge(l);
 }
 
 static void
@@ -493,6 +682,8 @@
 	l->peer = peer;
 	l->stream = stream_connect(s->daemon->base, peer, &stream_ops, l);
 	if (l->stream == NULL) {
+		pieces_destroy(l->pieces);
+		holder_release(&l->memory);
 		evbuffer_free(l->input);
 		free(l);
 		return NULL;
@@ -543,6 +734,20 @@
 	return true;
 }
 
+/* A call is not wanted any more: send and take no more of its bodies. */
+static void
+stop_bodies(struct link_task *s, const struct msg *cancel)
+{
+	struct link *l;
+
+	LIST_FOREACH (l, &s->links, entry) {
+		if (!addr_equal(l->peer, cancel->peer))
+			continue;
+		pieces_stop_request(l->pieces, cancel->seq);
+		pieces_drop_response(l->pieces, cancel->seq);
+	}
+}
+
 static void
 receive(void *state, struct msg *m)
 {
@@ -554,6 +759,8 @@
 		msg_destroy(m);
 		return;
 	}
+	if (m->kind == MSG_CANCEL)
+		stop_bodies(s, m);
 	l = link_find(s, m->peer);
 	if (l == NULL)
 		l = link_connect(s, m->peer);
@@ -562,7 +769,7 @@
 		return;
 	}
 	if (l->state != LINK_OPEN) {
-		TAILQ_INSERT_TAIL(&l->queued, m, entry);
+		link_enqueue(l, m);
 		return;
 	}
 	send_message(l, m);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -3,7 +3,6 @@
  */
 #include <event2/event.h>
 #include <glib.h>
-#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -12,6 +11,7 @@
 #include <sys/resource.h>
 
 #include "config/catalog_ini.h"
+#include "daemon/body.h"
 #include "daemon/daemon.h"
 #include "daemon/dialect.h"
 #include "daemon/holdings.h"
@@ -22,11 +22,6 @@
 #define EXIT_FATAL 128 /* exit status: a setting, file or port is unusable */
 #define EXIT_USAGE 129 /* exit status: wrong command line */
 #define DEFAULT_MAX_DESCRIPTORS 1024 /* assumed if the limit is unknown */
-/*
- * Allocations above this size are given back to the system when they are freed.
- * The C library would raise its threshold after the first large body.
- */
-#define LARGE_ALLOCATION_BYTES (128 << 10)
 #define SECRET_MIN_BYTES 32 /* smallest accepted secret file */
 
 static GQuark
@@ -279,7 +274,7 @@
 }
 
 static int
-run(struct daemon *d, const struct node_setup *setup)
+run(struct daemon *d, struct node_setup *setup)
 {
 	struct event *term, *intr, *hup;
 	int ret = EXIT_FATAL;
@@ -288,6 +283,7 @@
 	d->base = event_base_new();
 	event_base_priority_init(d->base, LOOP_PRIORITIES);
 	d->holdings = holdings_create(d);
+	setup->memory = d->memory;
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	intr = evsignal_new(d->base, SIGINT, on_signal, d);
 	hup = evsignal_new(d->base, SIGHUP, on_reload, d);
@@ -352,7 +348,7 @@
 
 	if (sodium_init() < 0)
 		return EXIT_FATAL;
-	mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION_BYTES);
+	body_setup();
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &error))
 		return print_fatal(error, EXIT_USAGE);
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -128,6 +128,7 @@
 	req.headers = (const char *)evbuffer_pullup(headers, -1);
 	req.headers_len = evbuffer_get_length(headers);
 	req.shared_body = &f->request.body;
+	req.body_is_charged = m->body_is_charged;
 	req.timeout_us = f->context.deadline_ms * MSEC_US;
 	req.is_response = is_response;
 	req.keeps_connection = keeps_connection;
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -266,7 +266,7 @@
 # small_fleet [SETTINGS]: two daemons with little memory, a target beside each
 small_fleet () {
 	# The sanitizers keep freed memory for some time.
-	ASAN_OPTIONS=quarantine_size_mb=1
+	ASAN_OPTIONS=quarantine_size_mb=1:allocator_release_to_os_interval_ms=0
 	export ASAN_OPTIONS
 	fleet_init
 	sed 's/^rate = .*/rate = 100000/; s/^burst = .*/burst = 10000/' \
--- a/t/replay.c
+++ b/t/replay.c
@@ -940,6 +940,7 @@
 	setup.guard = h->spec.guard ? h->spec.guard : &guard_full;
 	setup.ids_outlive_attempts = h->spec.work == NULL;
 	setup.headroom_fraction = h->spec.headroom;
+	setup.memory = h->spec.memory;
 	setup.parser = h->spec.parser ? h->spec.parser : &catalog_parser_native;
 	setup.max_calls = 100000;
 	setup.max_queue = h->spec.max_queue ? h->spec.max_queue : 512;
--- a/t/replay.h
+++ b/t/replay.h
@@ -78,6 +78,11 @@
 	const struct replay_work *(*work)(const char *path);
 	double headroom; /* the part of the target's slots that is kept free */
 	const struct catalog_parser *parser; /* NULL: of our own format */
+	/*
+	 * What the node charges; NULL: nothing.  The test has its holders give
+	 * way.  It must outlive the replay.
+	 */
+	struct account *memory;
 };
 
 /* A call of a caller.  The strings are copied. */
--- a/t/test-node.cc
+++ b/t/test-node.cc
@@ -46,7 +46,7 @@
 class Lives : public testing::Test {
       protected:
 	void
-	start(uint32_t slots)
+	start(uint32_t slots, struct account *memory = nullptr)
 	{
 		struct replay_host_spec spec = {};
 
@@ -54,12 +54,14 @@
 		replay_set_config(r, chain_config().c_str());
 		spec.dc = "a";
 		spec.slots = slots;
+		spec.memory = memory;
 		spec.limiter = &limiter_fixed;
 		spec.shedder = &shedder_fifo;
 		spec.mean_run_us = RUN_US;
 		spec.service = "bookings";
 		replay_add_host(r, &spec);
 		spec.service = nullptr;
+		spec.memory = nullptr;
 		replay_add_host(r, &spec);
 		replay_run_until(r, STARTUP_US);
 	}
@@ -238,3 +240,42 @@
 	expect_own_outcomes(new_calls);
 	EXPECT_EQ(count_served(new_calls), NEW_CALLS);
 }
+
+/*
+ * Calls whose requests have to give way are refused as not run, and do not run.
+ */
+TEST_F(Lives, JobsThatGiveWayAreRefusedAndDoNotRun)
+{
+	struct account *memory =
+	    account_create(UINT64_MAX / 2, 0, nullptr, nullptr);
+	const struct account_state *state = account_state(memory);
+	int refused = 0, ran = 0;
+	uint64_t runs;
+
+	start(4, memory);
+	auto calls = book(OLD_CALLS, 60000);
+
+	run_for(10 * MSEC_US);
+	EXPECT_GT(state->held_by[HOLDER_JOB], 30000u);
+	account_set_limit(memory, state->held / 2, 0);
+	account_make_room(memory, nullptr, replay_instant(r).mono_us);
+	EXPECT_LE(state->held, state->limit);
+	run_for(30 * SEC_US);
+	for (const auto &b : calls) {
+		runs = replay_count_runs_of_id(r, b->id.c_str());
+		EXPECT_TRUE(b->answered);
+		EXPECT_EQ(runs, b->succeeded ? 1u : 0u);
+		EXPECT_TRUE(b->succeeded || b->verdict == VERDICT_NOT_RUN);
+		refused += !b->succeeded;
+		ran += b->succeeded;
+	}
+	/* Some were sent once more and ran then. */
+	EXPECT_GT(state->gave_way[HOLDER_JOB], 10u);
+	EXPECT_LE((uint64_t)refused, state->gave_way[HOLDER_JOB]);
+	EXPECT_GT(refused, 0);
+	EXPECT_GT(ran, 10);
+	EXPECT_EQ(state->held_by[HOLDER_JOB], 0u);
+	replay_destroy(r);
+	r = replay_create(1);
+	account_destroy(memory);
+}
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -27,6 +27,8 @@
 #define FRAME_NONCE_LEN 32 /* bytes of the nonce in a hello */
 #define FRAME_MAC_LEN 32 /* bytes of the MAC in a proof */
 #define FRAME_MAX_MEMBERS 4096 /* member records in one message */
+/* The longest body that may follow its message in pieces. */
+#define FRAME_MAX_FOLLOWING_BYTES (UINT64_C(1) << 30)
 
 enum frame_status {
 	FRAME_OK,
@@ -48,6 +50,11 @@
 	 * as short as on one with calls
 	 */
 	uint32_t idle_silence_ms;
+	/*
+	 * hello: the longest MSG_PIECE that the sender takes; 0: it takes none,
+	 * and bodies have to come with their messages
+	 */
+	uint32_t piece_bytes;
 	/*
 	 * proof: MAC over the sender's role and address and both nonces, under
 	 * a key that is derived from the fleet's secret.
@@ -61,6 +68,12 @@
  * message must be of a kind that daemons exchange.
  */
 void frame_encode(const struct msg *, struct buffer *);
+/*
+ * Encode the next bytes of a body, or with NULL that the rest will not follow,
+ * as the frame of a MSG_PIECE.
+ */
+void frame_encode_piece(
+    uint64_t seq, bool of_reply, const void *data, size_t len, struct buffer *);
 /* The same for a frame of the handshake. */
 void frame_encode_handshake(const struct handshake *, struct buffer *);
 /*
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -275,6 +275,7 @@
     {LINK__FRAME__BODY_CONFIG, MSG_CONFIG},
     {LINK__FRAME__BODY_SHARE_ASK, MSG_SHARE_ASK},
     {LINK__FRAME__BODY_SHARE, MSG_SHARE},
+    {LINK__FRAME__BODY_PIECE, MSG_PIECE},
 };
 
 /* Creates the message for a frame's body; NULL for the handshake or no body. */
@@ -290,14 +291,32 @@
 	return NULL;
 }
 
+/* A body either comes with its message or follows it. */
+static bool
+decode_follows(struct msg *m, uint64_t bytes, const struct buffer *body)
+{
+	m->body_follows = bytes;
+	return bytes == 0 ||
+	       (body->len == 0 && bytes <= FRAME_MAX_FOLLOWING_BYTES);
+}
+
 static bool
 decode_body(struct msg *m, const Link__Frame *f)
 {
 	switch (f->body_case) {
 	case LINK__FRAME__BODY_FORWARD:
-		return decode_forward(&m->u.forward, f->forward);
+		return decode_forward(&m->u.forward, f->forward) &&
+		       decode_follows(m, f->forward->body_follows,
+			   &m->u.forward.request.body);
 	case LINK__FRAME__BODY_REPLY:
-		return decode_answer(&m->u.reply, f->reply);
+		return decode_answer(&m->u.reply, f->reply) &&
+		       decode_follows(
+			   m, f->reply->body_follows, &m->u.reply.body);
+	case LINK__FRAME__BODY_PIECE:
+		m->u.piece.of_reply = f->piece->of_reply;
+		m->u.piece.dropped = f->piece->dropped;
+		copy_bytes(&m->u.piece.data, &f->piece->data);
+		return f->piece->data.len > 0 || f->piece->dropped;
 	case LINK__FRAME__BODY_CANCEL:
 		m->queued_only = f->cancel->queued_only;
 		return true;
@@ -396,6 +415,7 @@
 		h->addr.ip = f->hello->ip;
 		h->addr.port = f->hello->port;
 		h->idle_silence_ms = f->hello->idle_silence_ms;
+		h->piece_bytes = f->hello->piece_bytes;
 		memcpy(h->nonce, f->hello->nonce.data, FRAME_NONCE_LEN);
 		status = FRAME_OK;
 	} else if (f->body_case == LINK__FRAME__BODY_PROOF &&
--- a/wire/frame_encode.c
+++ b/wire/frame_encode.c
@@ -56,7 +56,8 @@
 }
 
 static void
-fill_forward(Link__Forward *p, Link__Context *ctx, const struct forward *f)
+fill_forward(Link__Forward *p, Link__Context *ctx, const struct forward *f,
+    uint64_t body_follows)
 {
 	link__forward__init(p);
 	fill_context(ctx, &f->context);
@@ -73,6 +74,7 @@
 	p->path = borrow_string(f->request.path);
 	p->headers = borrow_buffer(&f->request.headers);
 	p->body = borrow_buffer(&f->request.body);
+	p->body_follows = body_follows;
 }
 
 static void
@@ -257,12 +259,13 @@
 	f.seq = m->seq;
 	switch (m->kind) {
 	case MSG_FORWARD:
-		fill_forward(&u.forward, &ctx, &m->u.forward);
+		fill_forward(&u.forward, &ctx, &m->u.forward, m->body_follows);
 		f.body_case = LINK__FRAME__BODY_FORWARD;
 		f.forward = &u.forward;
 		break;
 	case MSG_REPLY:
 		fill_reply(&u.reply, &m->u.reply);
+		u.reply.body_follows = m->body_follows;
 		f.body_case = LINK__FRAME__BODY_REPLY;
 		f.reply = &u.reply;
 		break;
@@ -313,6 +316,23 @@
 	pack_frame(&f, buf);
 }
 
+void
+frame_encode_piece(uint64_t seq, bool of_reply, const void *data, size_t len,
+    struct buffer *buf)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Piece piece = LINK__PIECE__INIT;
+
+	piece.of_reply = of_reply;
+	piece.dropped = data == NULL;
+	piece.data.data = (uint8_t *)(uintptr_t)data;
+	piece.data.len = len;
+	f.seq = seq;
+	f.body_case = LINK__FRAME__BODY_PIECE;
+	f.piece = &piece;
+	pack_frame(&f, buf);
+}
+
 void
 frame_encode_handshake(const struct handshake *h, struct buffer *buf)
 {
@@ -324,6 +344,7 @@
 		hello.ip = h->addr.ip;
 		hello.port = h->addr.port;
 		hello.idle_silence_ms = h->idle_silence_ms;
+		hello.piece_bytes = h->piece_bytes;
 		hello.nonce.data = (uint8_t *)(uintptr_t)h->nonce;
 		hello.nonce.len = FRAME_NONCE_LEN;
 		f.body_case = LINK__FRAME__BODY_HELLO;
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &link__reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   link__piece__init
+                     (Link__Piece         *message)
+{
+  static const Link__Piece init_value = LINK__PIECE__INIT;
+  *message = init_value;
+}
+size_t link__piece__get_packed_size
+                     (const Link__Piece *message)
+{
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t link__piece__pack
+                     (const Link__Piece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t link__piece__pack_to_buffer
+                     (const Link__Piece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Link__Piece *
+       link__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__Piece *)
+     protobuf_c_message_unpack (&link__piece__descriptor,
+                                allocator, len, data);
+}
+void   link__piece__free_unpacked
+                     (Link__Piece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   link__cancel__init
                      (Link__Cancel         *message)
 {
@@ -682,7 +727,7 @@
   assert(message->base.descriptor == &link__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor link__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor link__hello__field_descriptors[5] =
 {
   {
     "ip",
@@ -732,17 +777,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "piece_bytes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Hello, piece_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__hello__field_indices_by_name[] = {
   3,   /* field[3] = idle_silence_ms */
   0,   /* field[0] = ip */
   2,   /* field[2] = nonce */
+  4,   /* field[4] = piece_bytes */
   1,   /* field[1] = port */
 };
 static const ProtobufCIntRange link__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor link__hello__descriptor =
 {
@@ -752,7 +810,7 @@
   "Link__Hello",
   "link",
   sizeof(Link__Hello),
-  4,
+  5,
   link__hello__field_descriptors,
   link__hello__field_indices_by_name,
   1,  link__hello__number_ranges,
@@ -926,7 +984,7 @@
   (ProtobufCMessageInit) link__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__forward__field_descriptors[13] =
+static const ProtobufCFieldDescriptor link__forward__field_descriptors[14] =
 {
   {
     "service",
@@ -1084,9 +1142,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "body_follows",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Forward, body_follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__forward__field_indices_by_name[] = {
   9,   /* field[9] = body */
+  13,   /* field[13] = body_follows */
   10,   /* field[10] = caller */
   4,   /* field[4] = config_version */
   5,   /* field[5] = context */
@@ -1103,7 +1174,7 @@
 static const ProtobufCIntRange link__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor link__forward__descriptor =
 {
@@ -1113,14 +1184,14 @@
   "Link__Forward",
   "link",
   sizeof(Link__Forward),
-  13,
+  14,
   link__forward__field_descriptors,
   link__forward__field_indices_by_name,
   1,  link__forward__number_ranges,
   (ProtobufCMessageInit) link__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__reply__field_descriptors[14] =
+static const ProtobufCFieldDescriptor link__reply__field_descriptors[15] =
 {
   {
     "status",
@@ -1290,10 +1361,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "body_follows",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Reply, body_follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__reply__field_indices_by_name[] = {
   5,   /* field[5] = allowance */
   4,   /* field[4] = body */
+  14,   /* field[14] = body_follows */
   3,   /* field[3] = headers */
   11,   /* field[11] = leaving */
   10,   /* field[10] = load */
@@ -1310,7 +1394,7 @@
 static const ProtobufCIntRange link__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor link__reply__descriptor =
 {
@@ -1320,13 +1404,77 @@
   "Link__Reply",
   "link",
   sizeof(Link__Reply),
-  14,
+  15,
   link__reply__field_descriptors,
   link__reply__field_indices_by_name,
   1,  link__reply__number_ranges,
   (ProtobufCMessageInit) link__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor link__piece__field_descriptors[3] =
+{
+  {
+    "of_reply",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Piece, of_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dropped",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Piece, dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__Piece, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned link__piece__field_indices_by_name[] = {
+  2,   /* field[2] = data */
+  1,   /* field[1] = dropped */
+  0,   /* field[0] = of_reply */
+};
+static const ProtobufCIntRange link__piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor link__piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Piece",
+  "Piece",
+  "Link__Piece",
+  "link",
+  sizeof(Link__Piece),
+  3,
+  link__piece__field_descriptors,
+  link__piece__field_indices_by_name,
+  1,  link__piece__number_ranges,
+  (ProtobufCMessageInit) link__piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor link__cancel__field_descriptors[1] =
 {
   {
@@ -2412,7 +2560,7 @@
   (ProtobufCMessageInit) link__share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__frame__field_descriptors[15] =
+static const ProtobufCFieldDescriptor link__frame__field_descriptors[16] =
 {
   {
     "seq",
@@ -2594,6 +2742,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "piece",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, piece),
+    &link__piece__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__frame__field_indices_by_name[] = {
   6,   /* field[6] = ask_fate */
@@ -2606,6 +2766,7 @@
   1,   /* field[1] = hello */
   9,   /* field[9] = members */
   8,   /* field[8] = members_ask */
+  15,   /* field[15] = piece */
   2,   /* field[2] = proof */
   4,   /* field[4] = reply */
   0,   /* field[0] = seq */
@@ -2615,7 +2776,7 @@
 static const ProtobufCIntRange link__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor link__frame__descriptor =
 {
@@ -2625,7 +2786,7 @@
   "Link__Frame",
   "link",
   sizeof(Link__Frame),
-  15,
+  16,
   link__frame__field_descriptors,
   link__frame__field_indices_by_name,
   1,  link__frame__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Link__Context Link__Context;
 typedef struct Link__Forward Link__Forward;
 typedef struct Link__Reply Link__Reply;
+typedef struct Link__Piece Link__Piece;
 typedef struct Link__Cancel Link__Cancel;
 typedef struct Link__Fate Link__Fate;
 typedef struct Link__Member Link__Member;
@@ -44,10 +45,11 @@
   uint32_t port;
   ProtobufCBinaryData nonce;
   uint32_t idle_silence_ms;
+  uint32_t piece_bytes;
 };
 #define LINK__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__hello__descriptor) \
-    , 0, 0, {0,NULL}, 0 }
+    , 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -97,10 +99,11 @@
   char *caller;
   char *host;
   protobuf_c_boolean owned;
+  uint64_t body_follows;
 };
 #define LINK__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__forward__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Link__Reply
@@ -120,10 +123,26 @@
   protobuf_c_boolean leaving;
   protobuf_c_boolean reached;
   uint32_t pressure;
+  uint64_t body_follows;
 };
 #define LINK__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__reply__descriptor) \
-    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The next bytes of the body of the Forward or Reply with that seq.
+ */
+struct  Link__Piece
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean of_reply;
+  protobuf_c_boolean dropped;
+  ProtobufCBinaryData data;
+};
+#define LINK__PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&link__piece__descriptor) \
+    , 0, 0, {0,NULL} }
 
 
 struct  Link__Cancel
@@ -290,7 +309,8 @@
   LINK__FRAME__BODY_CONFIG_ASK = 12,
   LINK__FRAME__BODY_CONFIG = 13,
   LINK__FRAME__BODY_SHARE_ASK = 14,
-  LINK__FRAME__BODY_SHARE = 15
+  LINK__FRAME__BODY_SHARE = 15,
+  LINK__FRAME__BODY_PIECE = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LINK__FRAME__BODY__CASE)
 } Link__Frame__BodyCase;
 
@@ -314,6 +334,7 @@
     Link__Config *config;
     Link__Share *share_ask;
     Link__Share *share;
+    Link__Piece *piece;
   };
 };
 #define LINK__FRAME__INIT \
@@ -416,6 +437,25 @@
 void   link__reply__free_unpacked
                      (Link__Reply *message,
                       ProtobufCAllocator *allocator);
+/* Link__Piece methods */
+void   link__piece__init
+                     (Link__Piece         *message);
+size_t link__piece__get_packed_size
+                     (const Link__Piece   *message);
+size_t link__piece__pack
+                     (const Link__Piece   *message,
+                      uint8_t             *out);
+size_t link__piece__pack_to_buffer
+                     (const Link__Piece   *message,
+                      ProtobufCBuffer     *buffer);
+Link__Piece *
+       link__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   link__piece__free_unpacked
+                     (Link__Piece *message,
+                      ProtobufCAllocator *allocator);
 /* Link__Cancel methods */
 void   link__cancel__init
                      (Link__Cancel         *message);
@@ -623,6 +663,9 @@
 typedef void (*Link__Reply_Closure)
                  (const Link__Reply *message,
                   void *closure_data);
+typedef void (*Link__Piece_Closure)
+                 (const Link__Piece *message,
+                  void *closure_data);
 typedef void (*Link__Cancel_Closure)
                  (const Link__Cancel *message,
                   void *closure_data);
@@ -664,6 +707,7 @@
 extern const ProtobufCMessageDescriptor link__context__descriptor;
 extern const ProtobufCMessageDescriptor link__forward__descriptor;
 extern const ProtobufCMessageDescriptor link__reply__descriptor;
+extern const ProtobufCMessageDescriptor link__piece__descriptor;
 extern const ProtobufCMessageDescriptor link__cancel__descriptor;
 extern const ProtobufCMessageDescriptor link__fate__descriptor;
 extern const ProtobufCMessageDescriptor link__member__descriptor;
