http_server: give the place of idle connections to new callers

An ordinary caller's connection was closed at once while others, that sent nothing, held every place: three quarters of the descriptors were for callers, and a further connection was the one to go.

A second account counts descriptors, those of links, the target, the platform and the other ports too, a quarter reserved for these. A new connection takes the place of the one that has stood still longest; one whose call is in progress does not stand still. A port with a limit of its own, such as that of the probes, does the same. The operators' port has a limit of 64 connections and a time-out now. A listener that fails to accept pauses for 100 ms, where it tried again without end.

/metrics and status show what is held of both resources, by whom, the peak and who gave way; the log says when one gets short.

--- a/core/node.c
+++ b/core/node.c
@@ -536,6 +536,42 @@
 	return used;
 }
 
+/*
+ * Print what is held of a resource, as "memory" or "descriptors":
+ *
+ *	memory_held, memory_held_peak, memory_held_limit
+ *	memory_held_by{holder="caller"}, with the names in account.c
+ *	memory_gave_way{holder="caller"}, likewise
+ *
+ * Memory is in bytes.  The last two are left out where they are 0.
+ */
+static size_t
+print_account(const char *name, const struct account *a, char *buf, size_t len)
+{
+	const struct account_state *s;
+	size_t used;
+	int i;
+
+	if (a == NULL)
+		return 0;
+	s = account_state(a);
+	used = (size_t)snprintf(buf, len,
+	    "%s_held %" PRIu64 "\n%s_held_peak %" PRIu64
+	    "\n%s_held_limit %" PRIu64 "\n",
+	    name, s->held, name, s->peak, name, s->limit);
+	for (i = 0; i < HOLDER_KIND_COUNT; i++) {
+		if (s->held_by[i] != 0)
+			used += (size_t)snprintf(buf + used, len - used,
+			    "%s_held_by{holder=\"%s\"} %" PRIu64 "\n", name,
+			    holder_kind_name(i), s->held_by[i]);
+		if (s->gave_way[i] != 0)
+			used += (size_t)snprintf(buf + used, len - used,
+			    "%s_gave_way{holder=\"%s\"} %" PRIu64 "\n", name,
+			    holder_kind_name(i), s->gave_way[i]);
+	}
+	return used;
+}
+
 /*
  * Print the counters under their names in counters.c, and the number of failed
  * calls for each reason as refused_REASON, such as refused_over-rate, with
@@ -598,8 +634,8 @@
 
 /*
  * Print the metrics of the present state, then those of print_counters(),
- * print_latencies() and print_platform_requests(), then the members as far as
- *they fit.  The first are, in full,
+ * print_latencies(), print_platform_requests() and print_account(), then the
+ * members as far as they fit.  The first are, in full,
  *
  *	config_version, config_age_ms, tree_root, tree_epoch, tree_children,
  *	calls_now, jobs_now, ids_remembered, limit_now, waiting_now,
@@ -626,6 +662,10 @@
 	used += print_counters(n, buf + used, STATUS_MAX_BYTES - used);
 	used += print_latencies(n, buf + used, STATUS_MAX_BYTES - used);
 	used += print_platform_requests(n, buf + used, STATUS_MAX_BYTES - used);
+	used += print_account(
+	    "memory", n->setup.memory, buf + used, STATUS_MAX_BYTES - used);
+	used += print_account("descriptors", n->setup.descriptors, buf + used,
+	    STATUS_MAX_BYTES - used);
 	print_members(n, buf + used, STATUS_MAX_BYTES - used, now);
 	return buf;
 }
--- a/core/node.h
+++ b/core/node.h
@@ -85,8 +85,12 @@
 	uint64_t key_max_config_age_us;
 	/* The fraction of the target's slots that is left free, 0 to 1. */
 	double headroom_fraction;
-	/* The account of memory, which outlives the node; NULL: none. */
+	/*
+	 * The accounts of memory, which the node charges, and of descriptors,
+	 * which it only shows.  They outlive the node; NULL: none.
+	 */
 	struct account *memory;
+	struct account *descriptors;
 };
 
 struct node;
--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -102,6 +102,7 @@
 	    .idle_timeout_us = CONNECTION_TIMEOUT_US,
 	    .max_connections = MAX_CONNECTIONS,
 	    .memory = d->memory,
+	    .descriptors = d->descriptors,
 	    .role = HTTP_SERVER_ESSENTIAL,
 	};
 	struct announce_task *s = xcalloc(1, sizeof(*s));
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -54,8 +54,9 @@
 	/* NULL: the dialect has no announce port. */
 	const struct announce_protocol *announce_protocol;
 	uint64_t max_descriptors; /* limit of open files of this process */
-	struct holdings *holdings; /* which owns the account that follows */
+	struct holdings *holdings; /* which owns the accounts that follow */
 	struct account *memory; /* bytes that all tasks keep; NULL: no limit */
+	struct account *descriptors; /* that all tasks use; NULL: no limit */
 	/*
 	 * Key that authenticates links: a hash of the secret file, or zeroes
 	 * without one, when links are open to every daemon.
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -14,12 +14,6 @@
 #include "daemon/http_server.h"
 #include "daemon/log.h"
 
-/*
- * One descriptor in this many is not used for callers' connections, but left
- * for links, the target, the platform and the other ports.
- */
-#define SPARE_DESCRIPTORS_DIVISOR 4
-
 /*
  * Retry-After of a request that was refused while it arrived, for the memory
  * that it took; spread, so that those refused together do not return together.
@@ -275,9 +269,9 @@
 	f->from_settings.limits.body_bytes = s->max_body_bytes;
 	f->from_settings.header_timeout_us = s->caller_idle_s * SEC_US;
 	f->from_settings.idle_timeout_us = s->caller_idle_s * SEC_US;
-	f->from_settings.max_connections =
-	    d->max_descriptors - d->max_descriptors / SPARE_DESCRIPTORS_DIVISOR;
+	f->from_settings.max_connections = d->max_descriptors;
 	f->from_settings.memory = d->memory;
+	f->from_settings.descriptors = d->descriptors;
 	f->http = http_server_create(
 	    d->base, s->callers, &f->from_settings, &server_ops, f);
 	if (f->http == NULL) {
--- a/daemon/holdings.c
+++ b/daemon/holdings.c
@@ -15,18 +15,37 @@
 /* Part of that which is reserved for links, the platform and the operators. */
 #define RESERVED_PERCENT 5
 #define BYTES_PER_MB 1000000
+#define UNKNOWN_MEMORY_BYTES                                                   \
+	(UINT64_C(1) << 30) /* if the system does not tell */
+/*
+ * Descriptors that are no connections, such as the event loop's and the ports:
+ * one in this many, and at least so many.
+ */
+#define OTHER_FILES_DIVISOR 16
+#define MIN_OTHER_FILES 16
+/* Part of the others that is reserved for links, the target and the platform.
+ */
+#define RESERVED_DESCRIPTORS_PERCENT 25
 /* Above and below these parts of the limit a line is logged. */
 #define SHORT_PERCENT 90
 #define FREE_PERCENT 70
 
-struct holdings {
-	struct daemon *daemon;
+/* One account and what was logged of it. */
+struct resource {
+	const char *name; /* in the log */
+	struct account *account;
 	struct event *relief; /* has the holders give way */
 	bool is_short; /* as last logged */
 	uint64_t gave_way_logged; /* holders, as last logged */
 	uint64_t logged_s; /* monotonic second of that */
 };
 
+struct holdings {
+	struct daemon *daemon;
+	struct resource memory;
+	struct resource descriptors;
+};
+
 /* Bytes of memory that the process may take. */
 static uint64_t
 process_memory(const struct settings *s)
@@ -36,45 +55,69 @@
 	if (s->memory_mb != 0)
 		return s->memory_mb * BYTES_PER_MB;
 	return pages > 0 && size > 0 ? (uint64_t)pages * (uint64_t)size
-				     : UINT64_MAX / 100;
+				     : UNKNOWN_MEMORY_BYTES;
 }
 
 static uint64_t
 percent(uint64_t n, unsigned int part)
 {
-	return n / 100 * part;
+	return n * part / 100;
 }
 
 static void
 on_relief(evutil_socket_t fd, short what, void *arg)
 {
-	struct holdings *h = arg;
+	struct resource *r = arg;
 
 	(void)fd;
 	(void)what;
-	account_make_room(h->daemon->memory, NULL, daemon_now().mono_us);
+	account_make_room(r->account, NULL, daemon_now().mono_us);
 }
 
 static void
 on_over(void *arg)
 {
-	struct holdings *h = arg;
+	struct resource *r = arg;
+
+	event_active(r->relief, EV_TIMEOUT, 0);
+}
+
+static void
+set_limit(struct resource *r, uint64_t limit, unsigned int reserved_percent)
+{
+	if (limit != account_state(r->account)->limit)
+		log_line(LOG_NOTICE, "limit", "resource=%s limit=%" PRIu64,
+		    r->name, limit);
+	account_set_limit(r->account, limit, percent(limit, reserved_percent));
+}
 
-	event_active(h->relief, EV_TIMEOUT, 0);
+static void
+resource_init(struct resource *r, const char *name, struct event_base *base)
+{
+	r->name = name;
+	r->account = account_create(UINT64_MAX, 0, on_over, r);
+	r->relief = event_new(base, -1, 0, on_relief, r);
+	event_priority_set(r->relief, LOOP_PRIORITY_FIRST);
+}
+
+static void
+resource_release(struct resource *r)
+{
+	account_destroy(r->account);
+	event_free(r->relief);
 }
 
 struct holdings *
 holdings_create(struct daemon *d)
 {
 	struct holdings *h = xcalloc(1, sizeof(*h));
-	uint64_t limit = percent(process_memory(d->settings), HELD_PERCENT);
 
 	h->daemon = d;
-	h->relief = event_new(d->base, -1, 0, on_relief, h);
-	event_priority_set(h->relief, LOOP_PRIORITY_FIRST);
-	d->memory =
-	    account_create(limit, percent(limit, RESERVED_PERCENT), on_over, h);
-	log_line(LOG_NOTICE, "memory-limit", "held_bytes=%" PRIu64, limit);
+	resource_init(&h->memory, "memory", d->base);
+	resource_init(&h->descriptors, "descriptors", d->base);
+	d->memory = h->memory.account;
+	d->descriptors = h->descriptors.account;
+	holdings_reload(h);
 	return h;
 }
 
@@ -83,22 +126,24 @@
 {
 	if (h == NULL)
 		return;
-	account_destroy(h->daemon->memory);
-	event_free(h->relief);
+	resource_release(&h->memory);
+	resource_release(&h->descriptors);
 	free(h);
 }
 
 void
 holdings_reload(struct holdings *h)
 {
-	uint64_t limit =
-	    percent(process_memory(h->daemon->settings), HELD_PERCENT);
-
-	if (limit != account_state(h->daemon->memory)->limit)
-		log_line(
-		    LOG_NOTICE, "memory-limit", "held_bytes=%" PRIu64, limit);
-	account_set_limit(
-	    h->daemon->memory, limit, percent(limit, RESERVED_PERCENT));
+	uint64_t files = h->daemon->max_descriptors;
+	uint64_t kept_free = files / OTHER_FILES_DIVISOR;
+
+	if (kept_free < MIN_OTHER_FILES)
+		kept_free = MIN_OTHER_FILES;
+	set_limit(&h->memory,
+	    percent(process_memory(h->daemon->settings), HELD_PERCENT),
+	    RESERVED_PERCENT);
+	set_limit(&h->descriptors, files > kept_free ? files - kept_free : 1,
+	    RESERVED_DESCRIPTORS_PERCENT);
 }
 
 /* Write "caller=1 job=2", what the account's kinds hold or gave way. */
@@ -117,23 +162,24 @@
 }
 
 static void
-log_shortness(struct holdings *h, const struct account_state *s)
+log_shortness(struct resource *r, const struct account_state *s)
 {
-	unsigned int bound = h->is_short ? FREE_PERCENT : SHORT_PERCENT;
+	unsigned int bound = r->is_short ? FREE_PERCENT : SHORT_PERCENT;
 	bool is_short = s->held > percent(s->limit, bound);
 	char kinds[256];
 
-	if (is_short == h->is_short)
+	if (is_short == r->is_short)
 		return;
-	h->is_short = is_short;
+	r->is_short = is_short;
 	format_kinds(s->held_by, kinds, sizeof(kinds));
 	log_line(is_short ? LOG_WARNING : LOG_NOTICE,
-	    is_short ? "memory-short" : "memory-free",
-	    "held=%" PRIu64 " limit=%" PRIu64 "%s", s->held, s->limit, kinds);
+	    is_short ? "resource-short" : "resource-free",
+	    "resource=%s held=%" PRIu64 " limit=%" PRIu64 "%s", r->name,
+	    s->held, s->limit, kinds);
 }
 
 static void
-log_gave_way(struct holdings *h, const struct account_state *s)
+log_gave_way(struct resource *r, const struct account_state *s)
 {
 	uint64_t current_s = daemon_now().mono_us / SEC_US, sum = 0;
 	char kinds[256];
@@ -141,26 +187,30 @@
 
 	for (i = 0; i < HOLDER_KIND_COUNT; i++)
 		sum += s->gave_way[i];
-	if (sum == h->gave_way_logged || current_s == h->logged_s)
+	if (sum == r->gave_way_logged || current_s == r->logged_s)
 		return;
 	format_kinds(s->gave_way, kinds, sizeof(kinds));
 	log_line(LOG_WARNING, "gave-way",
-	    "resource=memory count=%" PRIu64 " last_held=%" PRIu64
+	    "resource=%s count=%" PRIu64 " last_held=%" PRIu64
 	    " last_idle_ms=%" PRIu64 "%s",
-	    sum - h->gave_way_logged, s->last_held, s->last_idle_us / MSEC_US,
-	    kinds);
-	h->gave_way_logged = sum;
-	h->logged_s = current_s;
+	    r->name, sum - r->gave_way_logged, s->last_held,
+	    s->last_idle_us / MSEC_US, kinds);
+	r->gave_way_logged = sum;
+	r->logged_s = current_s;
 }
 
 void
 holdings_log(struct holdings *h)
 {
+	struct resource *const resources[] = {&h->memory, &h->descriptors};
 	const struct account_state *s;
+	size_t i;
 
 	if (h == NULL)
 		return;
-	s = account_state(h->daemon->memory);
-	log_shortness(h, s);
-	log_gave_way(h, s);
+	for (i = 0; i < sizeof(resources) / sizeof(resources[0]); i++) {
+		s = account_state(resources[i]->account);
+		log_shortness(resources[i], s);
+		log_gave_way(resources[i], s);
+	}
 }
--- a/daemon/holdings.h
+++ b/daemon/holdings.h
@@ -1,11 +1,12 @@
 /*
- * holdings - the account of the process's memory and its limit
+ * holdings - the accounts of the process's memory and descriptors
  *
- * Has the holders of the account give way as soon as they hold too much: before
- * the event loop calls any other task, so that the sum gets over the limit by
- * what one event adds and not more.
+ * Sets their limits, from the setting memory-mb and the limit of open files,
+ * and has their holders give way as soon as they hold too much: before the
+ * event loop calls any other task, so that the sum gets over the limit by what
+ * one event adds and not more.
  *
- *	h = holdings_create(daemon);	sets daemon->memory
+ *	h = holdings_create(daemon);	sets its memory and descriptors
  *	holdings_reload(h);		after settings were read again
  *	holdings_log(h);		now and then
  *	holdings_destroy(h);
@@ -24,15 +25,15 @@
 
 struct holdings;
 
-/* Create the account for the settings in force. */
+/* Create the accounts for the settings in force. */
 struct holdings *holdings_create(struct daemon *);
-/* Free the account; all tasks that charge it must be gone.  NULL is allowed. */
+/* Free the accounts; all tasks must be gone.  NULL is allowed. */
 void holdings_destroy(struct holdings *);
-/* Use the limit of the settings that are in force now. */
+/* Use the limits of the settings that are in force now. */
 void holdings_reload(struct holdings *);
 /*
- * Log that the memory gets short or is free again, and how many holders gave
- * way, at most once a second.  NULL is allowed.
+ * Log that one gets short or is free again, and how many holders gave way, at
+ * most once a second.  NULL is allowed.
  */
 void holdings_log(struct holdings *);
 
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -45,6 +45,7 @@
 	unsigned int unrelated; /* messages dropped during the call */
 	size_t partial_bytes; /* memory of the response being read */
 	struct holder memory;
+	struct holder descriptor;
 	bool output_is_charged; /* elsewhere */
 	/* stream_bytes_sent() when the request started. */
 	uint64_t sent_bytes_at_start;
@@ -107,6 +108,7 @@
 	}
 	conn_count_partial(c, 0);
 	holder_release(&c->memory);
+	holder_release(&c->descriptor);
 	http_reader_release(&c->reader);
 	stream_destroy(c->stream);
 	free(c);
@@ -381,6 +383,9 @@
 	holder_init(&c->memory, cl->settings.memory,
 	    cl->settings.is_essential ? &essential_holder : &target_holder, c,
 	    daemon_now().mono_us);
+	holder_init(&c->descriptor, cl->settings.descriptors, &essential_holder,
+	    c, 0 /* gives no way */);
+	holder_set(&c->descriptor, 1);
 	conn_count_partial(c, 0);
 	http_reader_init(&c->reader, HTTP_READ_RESPONSE, &cl->settings.limits);
 	return c;
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -42,6 +42,8 @@
 	 * client is essential.
 	 */
 	struct account *memory;
+	/* The account of descriptors, in which connections are essential. */
+	struct account *descriptors;
 	bool is_essential;
 };
 
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -49,6 +49,7 @@
 	unsigned int nexchanges;
 	size_t exchanges_held; /* sum of theirs */
 	struct holder memory;
+	struct holder descriptor;
 	struct buffer unparsed; /* received, but not parsed while paused */
 	/* Last byte received, response sent, or progress of a slow reader. */
 	uint64_t last_active_us;
@@ -93,6 +94,22 @@
 				   c->unparsed.len + c->exchanges_held +
 				   unsent);
 	holder_set_waiting(&c->memory, waiting, c->last_active_us);
+	holder_set_waiting(&c->descriptor, waiting, c->last_active_us);
+}
+
+static void
+conn_moved(struct http_conn *c, size_t len, uint64_t now_us)
+{
+	holder_moved(&c->memory, len, now_us);
+	holder_moved(&c->descriptor, len, now_us);
+}
+
+/* A request or a response was finished. */
+static void
+conn_finished(struct http_conn *c)
+{
+	holder_finished(&c->memory, c->last_active_us);
+	holder_finished(&c->descriptor, c->last_active_us);
 }
 
 static void
@@ -121,6 +138,7 @@
 	LIST_REMOVE(c, entry);
 	c->server->nconns--;
 	holder_release(&c->memory);
+	holder_release(&c->descriptor);
 	http_reader_release(&c->reader);
 	buffer_release(&c->unparsed);
 	stream_destroy(c->stream);
@@ -157,7 +175,7 @@
 	if (!sent)
 		return;
 	c->last_active_us = daemon_now().mono_us;
-	holder_finished(&c->memory, c->last_active_us);
+	conn_finished(c);
 	stream_flush(c->stream);
 }
 
@@ -229,10 +247,21 @@
 	}
 }
 
-static const struct holder_ops holder_ops[] = {
+/* Make place for another connection. */
+static void
+conn_close(void *owner)
+{
+	conn_free(owner, true);
+}
+
+static const struct holder_ops memory_holders[] = {
     [HTTP_SERVER_FOR_CALLERS] = {HOLDER_CALLER, false, conn_give_way},
     [HTTP_SERVER_ESSENTIAL] = {HOLDER_PORT, true, NULL},
 };
+static const struct holder_ops descriptor_holders[] = {
+    [HTTP_SERVER_FOR_CALLERS] = {HOLDER_CALLER, false, conn_close},
+    [HTTP_SERVER_ESSENTIAL] = {HOLDER_PORT, true, NULL},
+};
 
 static void
 deliver_request(struct http_conn *c)
@@ -245,7 +274,7 @@
 	http_reader_next(&c->reader);
 	c->request_start_us = 0;
 	ex->delivered = true;
-	holder_finished(&c->memory, c->last_active_us);
+	conn_finished(c);
 	c->server->ops->request(c->server->owner, ex);
 }
 
@@ -325,7 +354,7 @@
 	if (c->paused)
 		return;
 	c->last_active_us = daemon_now().mono_us;
-	holder_moved(&c->memory, len, c->last_active_us);
+	conn_moved(c, len, c->last_active_us);
 	conn_parse(c, data, len);
 	conn_charge(c);
 }
@@ -337,7 +366,7 @@
 {
 	struct http_conn *c = owner;
 
-	holder_moved(&c->memory, len, daemon_now().mono_us);
+	conn_moved(c, len, daemon_now().mono_us);
 	conn_resume_reading(c);
 	conn_charge(c);
 }
@@ -437,30 +466,59 @@
 	return ex->user_data;
 }
 
-static void
-on_accept(void *owner, int fd)
+static struct http_conn *
+conn_create(struct http_server *s, int fd)
 {
-	struct http_server *s = owner;
-	struct http_conn *c;
+	const struct http_server_settings *set = &s->settings;
+	struct http_conn *c = xcalloc(1, sizeof(*c));
+	uint64_t now_us = daemon_now().mono_us;
 
-	if (s->nconns >= s->settings.max_connections) {
-		log_line(LOG_WARNING, "too-many-connections", "count=%zu",
-		    s->nconns);
-		close(fd);
-		return;
-	}
-	c = xcalloc(1, sizeof(*c));
 	c->server = s;
 	TAILQ_INIT(&c->exchanges);
-	http_reader_init(&c->reader, HTTP_READ_REQUEST, &s->settings.limits);
-	c->last_active_us = daemon_now().mono_us;
-	holder_init(&c->memory, s->settings.memory,
-	    &holder_ops[s->settings.role], c, c->last_active_us);
+	http_reader_init(&c->reader, HTTP_READ_REQUEST, &set->limits);
+	c->last_active_us = now_us;
+	holder_init(
+	    &c->memory, set->memory, &memory_holders[set->role], c, now_us);
+	holder_init(&c->descriptor, set->descriptors,
+	    &descriptor_holders[set->role], c, now_us);
 	c->stream = stream_accept(s->base, fd, &stream_ops, c);
 	stream_allow_pauses(c->stream);
 	LIST_INSERT_HEAD(&s->conns, c, entry);
 	s->nconns++;
+	holder_set(&c->descriptor, 1);
 	conn_charge(c);
+	return c;
+}
+
+/* Close the connection that has stood still longest. */
+static void
+close_idlest(struct http_server *s, uint64_t now_us)
+{
+	struct http_conn *c, *idlest = NULL;
+	uint64_t weight, most = 0;
+
+	LIST_FOREACH (c, &s->conns, entry) {
+		weight = holder_weight(&c->descriptor, now_us);
+		if (idlest != NULL && weight <= most)
+			continue;
+		idlest = c;
+		most = weight;
+	}
+	log_line(LOG_WARNING, "too-many-connections", "count=%zu", s->nconns);
+	conn_free(idlest, true);
+}
+
+static void
+on_accept(void *owner, int fd)
+{
+	struct http_server *s = owner;
+	struct http_conn *c = conn_create(s, fd);
+
+	if (s->nconns > s->settings.max_connections)
+		close_idlest(s, c->last_active_us);
+	else
+		account_make_room(
+		    s->settings.descriptors, &c->descriptor, c->last_active_us);
 }
 
 /* Whether a timeout of a connection is over. */
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -17,7 +17,9 @@
  * request that arrives, those that wait for their responses, also where the
  * owner has their bodies by then, and the responses that the caller has yet to
  * read.  When it has to give way, a request that is arriving is refused with
- * ops->refuse(), and otherwise the connection is closed.
+ * ops->refuse(), and otherwise the connection is closed.  It also charges the
+ * account of descriptors, in which a new connection takes the place of the one
+ * that stands still longest.
  */
 #ifndef DAEMON_HTTP_SERVER_H
 #define DAEMON_HTTP_SERVER_H
@@ -36,10 +38,12 @@
 	uint64_t header_timeout_us;
 	/* Without a request, or without progress within a body. */
 	uint64_t idle_timeout_us;
-	size_t max_connections; /* further ones are closed at once */
-	/* The account of memory; NULL: none. */
+	/* Above it the connection that stands still longest is closed. */
+	size_t max_connections;
+	/* The accounts of memory and of descriptors; NULL: none. */
 	struct account *memory;
-	/* What a connection is to the account, and whether it gives way. */
+	struct account *descriptors;
+	/* What a connection is to the accounts, and whether it gives way. */
 	enum http_server_role {
 		HTTP_SERVER_FOR_CALLERS,
 		HTTP_SERVER_ESSENTIAL, /* never gives way */
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -62,6 +62,7 @@
 	struct pieces *pieces; /* long bodies, both ways */
 	uint32_t peer_piece_bytes; /* as in struct handshake */
 	struct holder memory;
+	struct holder descriptor;
 	struct addr peer; /* unset until an accepted link gets its hello */
 	enum link_state state;
 	bool outgoing; /* opened by this daemon */
@@ -142,6 +143,7 @@
 	msg_list_clear(&l->queued);
 	pieces_destroy(l->pieces);
 	holder_release(&l->memory);
+	holder_release(&l->descriptor);
 	stream_destroy(l->stream);
 	evbuffer_free(l->input);
 	free(l);
@@ -610,6 +612,7 @@
 }
 
 static const struct holder_ops link_holder = {HOLDER_LINK, true, link_give_way};
+static const struct holder_ops descriptor_holder = {HOLDER_LINK, true, NULL};
 
 static void
 on_closed(void *owner, enum stream_end end)
@@ -644,6 +647,9 @@
 	l->pieces = pieces_create(s->daemon->memory, &pieces_ops, l);
 	holder_init(
 	    &l->memory, s->daemon->memory, &link_holder, l, l->created_us);
+	holder_init(&l->descriptor, s->daemon->descriptors, &descriptor_holder,
+	    l, 0 /* gives no way */);
+	holder_set(&l->descriptor, 1);
 	randombytes_buf(l->nonce, sizeof(l->nonce));
 	return l;
 }
@@ -684,6 +690,7 @@
 	if (l->stream == NULL) {
 		pieces_destroy(l->pieces);
 		holder_release(&l->memory);
+		holder_release(&l->descriptor);
 		evbuffer_free(l->input);
 		free(l);
 		return NULL;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -284,6 +284,7 @@
 	event_base_priority_init(d->base, LOOP_PRIORITIES);
 	d->holdings = holdings_create(d);
 	setup->memory = d->memory;
+	setup->descriptors = d->descriptors;
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	intr = evsignal_new(d->base, SIGINT, on_signal, d);
 	hup = evsignal_new(d->base, SIGHUP, on_reload, d);
--- a/daemon/operators.c
+++ b/daemon/operators.c
@@ -10,12 +10,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/account.h"
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 
 #define MAX_CONFIG_BYTES (3u << 20) /* body of a submitted configuration */
 #define MAX_SLOTS 1000000 /* largest accepted number of slots */
 #define LISTEN_BACKLOG 64
+#define MAX_CONNECTIONS 64 /* further ones are closed at once */
+#define CONNECTION_TIMEOUT_S 30 /* of one that sends or reads nothing */
+
+/* What a connection holds. */
+struct operator_conn {
+	struct operators_task *task;
+	struct holder memory; /* of the request's body */
+	struct holder descriptor;
+};
 
 struct operator_request {
 	LIST_ENTRY(operator_request) entry;
@@ -30,8 +40,11 @@
 	evhtp_t *http;
 	struct operator_request_list requests;
 	uint64_t next_seq;
+	size_t nconns;
 };
 
+static const struct holder_ops conn_holder = {HOLDER_PORT, true, NULL};
+
 /* A path and method that are passed to the core, and the verb to use. */
 struct endpoint {
 	const char *path;
@@ -176,6 +189,53 @@
 		send_text(req, 404, "error: unknown path or method");
 }
 
+static evhtp_res
+on_body(evhtp_request_t *req, evbuf_t *part, void *arg)
+{
+	struct operator_conn *c = arg;
+
+	holder_set(&c->memory,
+	    evbuffer_get_length(req->buffer_in) + evbuffer_get_length(part));
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_connection_end(evhtp_connection_t *conn, void *arg)
+{
+	struct operator_conn *c = arg;
+
+	(void)conn;
+	c->task->nconns--;
+	holder_release(&c->memory);
+	holder_release(&c->descriptor);
+	free(c);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_accept(evhtp_connection_t *conn, void *arg)
+{
+	struct operators_task *s = arg;
+	struct operator_conn *c;
+
+	if (s->nconns >= MAX_CONNECTIONS) {
+		log_line(LOG_WARNING, "too-many-connections", "count=%zu",
+		    s->nconns);
+		return EVHTP_RES_ERROR;
+	}
+	c = xcalloc(1, sizeof(*c));
+	c->task = s;
+	s->nconns++;
+	holder_init(&c->memory, s->daemon->memory, &conn_holder, c, 0);
+	holder_init(&c->descriptor, s->daemon->descriptors, &conn_holder, c, 0);
+	holder_set(&c->descriptor, 1);
+	evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_read, (evhtp_hook)on_body, c);
+	evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
+	    (evhtp_hook)on_connection_end, c);
+	return EVHTP_RES_OK;
+}
+
 static void
 receive(void *state, struct msg *m)
 {
@@ -222,6 +282,7 @@
 struct task *
 operators_task_create(struct daemon *d)
 {
+	const struct timeval timeout = {CONNECTION_TIMEOUT_S, 0};
 	struct operators_task *s = xcalloc(1, sizeof(*s));
 	char ip[ADDR_TEXT_LEN];
 
@@ -230,6 +291,8 @@
 	s->http = evhtp_new(d->base, NULL);
 	evhtp_set_max_body_size(s->http, MAX_CONFIG_BYTES);
 	evhtp_set_gencb(s->http, on_request, s);
+	evhtp_set_post_accept_cb(s->http, on_accept, s);
+	evhtp_set_timeouts(s->http, &timeout, &timeout);
 	addr_text(d->settings->operators, ip);
 	*strchr(ip, ':') = '\0';
 	if (evhtp_bind_socket(s->http, ip, d->settings->operators.port,
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -129,6 +129,7 @@
 	    .idle_timeout_us = IDLE_TIMEOUT_US,
 	    .max_partial_bytes = MAX_PARTIAL_BYTES,
 	    .memory = p->daemon->memory,
+	    .descriptors = p->daemon->descriptors,
 	    .is_essential = true,
 	};
 	struct row_query *q;
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -142,6 +142,7 @@
 	    .idle_timeout_us = CONNECTION_TIMEOUT_US,
 	    .max_connections = MAX_CONNECTIONS,
 	    .memory = p->daemon->memory,
+	    .descriptors = p->daemon->descriptors,
 	    .role = HTTP_SERVER_ESSENTIAL,
 	};
 
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -18,6 +18,7 @@
 /* A connection with sent data unacknowledged for this long is broken. */
 #define UNACKED_TIMEOUT_MS 2000
 #define LISTEN_BACKLOG 1024
+#define ACCEPT_RETRY_US (100 * MSEC_US) /* after a failure to accept */
 /* A smaller buffer is copied to the output, which is cheaper. */
 #define MIN_REFERENCED_BYTES 4096
 
@@ -348,6 +349,7 @@
 
 struct listener {
 	struct evconnlistener *ev;
+	struct event *retry; /* accepts again after an error */
 	void (*accepted)(void *owner, int fd);
 	void *owner;
 };
@@ -364,6 +366,28 @@
 	l->accepted(l->owner, fd);
 }
 
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	struct listener *l = arg;
+
+	(void)fd;
+	(void)what;
+	evconnlistener_enable(l->ev);
+}
+
+/* Without a pause the loop would try again and again to accept. */
+static void
+on_accept_error(struct evconnlistener *ev, void *arg)
+{
+	struct timeval tv = {0, ACCEPT_RETRY_US};
+	struct listener *l = arg;
+
+	log_line(LOG_ERR, "accept-failed", "error=%s", strerror(errno));
+	evconnlistener_disable(ev);
+	evtimer_add(l->retry, &tv);
+}
+
 struct listener *
 listener_create(struct event_base *base, struct addr at,
     void (*accepted)(void *owner, int fd), void *owner)
@@ -377,10 +401,13 @@
 	l->ev = evconnlistener_new_bind(base, on_accept, l,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
 	    LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
-	if (l->ev != NULL)
-		return l;
-	free(l);
-	return NULL;
+	if (l->ev == NULL) {
+		free(l);
+		return NULL;
+	}
+	l->retry = evtimer_new(base, on_retry, l);
+	evconnlistener_set_error_cb(l->ev, on_accept_error);
+	return l;
 }
 
 void
@@ -388,6 +415,7 @@
 {
 	if (l == NULL)
 		return;
+	event_free(l->retry);
 	evconnlistener_free(l->ev);
 	free(l);
 }
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -185,6 +185,7 @@
 	set.idle_timeout_us = IDLE_TIMEOUT_US;
 	set.max_partial_bytes = t->daemon->settings->max_partial_bytes;
 	set.memory = t->daemon->memory;
+	set.descriptors = t->daemon->descriptors;
 	t->addr = at;
 	t->http = http_client_create(t->daemon->base, at, &set);
 }
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -647,6 +647,100 @@
 	EXPECT_EQ(exchanges.size(), 0u);
 }
 
+/* The server, with few descriptors. */
+
+namespace {
+
+struct CrowdedServer : public Server {
+	void
+	SetUp() override
+	{
+		static const struct http_server_ops ops = {
+		    on_request, on_disconnect};
+		struct http_server_settings set = {
+		    {4096, 65536}, 30 * SEC_US, 30 * SEC_US, 1000};
+
+		Loop::SetUp();
+		descriptors = account_create(5, 0, nullptr, nullptr);
+		set.descriptors = descriptors;
+		server = http_server_create(
+		    base, {LOOPBACK_IP, PORT}, &set, &ops, this);
+		ASSERT_NE(server, nullptr);
+	}
+	void
+	TearDown() override
+	{
+		http_server_destroy(server);
+		EXPECT_EQ(account_state(descriptors)->held, 0u);
+		account_destroy(descriptors);
+		Loop::TearDown();
+	}
+
+	struct account *descriptors;
+};
+
+} // namespace
+
+TEST_F(CrowdedServer, ANewCallerTakesThePlaceOfTheOneThatIsIdleLongest)
+{
+	int waits = connect_to_server(), idle, fd, i;
+
+	send_text(waits, GET);
+	ASSERT_TRUE(await_requests(1));
+	idle = connect_to_server();
+	run_ms(300);
+	for (i = 0; i < 3; i++)
+		connect_to_server();
+	run_ms(200);
+	EXPECT_EQ(http_server_connection_count(server), 5u);
+	fd = connect_to_server();
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(2));
+	respond(1, "in");
+	EXPECT_NE(receive(fd, "in").find("200"), std::string::npos);
+	EXPECT_EQ(receive(idle, ""), "");
+	EXPECT_EQ(http_server_connection_count(server), 5u);
+	respond(0, "whole");
+	EXPECT_NE(receive(waits, "whole").find("200"), std::string::npos);
+	EXPECT_EQ(disconnects, 0);
+}
+
+TEST_F(CrowdedServer, ANewCallerIsTurnedAwayWhereAllWait)
+{
+	int fd, i;
+
+	for (i = 0; i < 5; i++) {
+		fd = connect_to_server();
+		send_text(fd, GET);
+		ASSERT_TRUE(await_requests((size_t)i + 1));
+	}
+	run_ms(300);
+	fd = connect_to_server();
+	EXPECT_EQ(receive(fd, ""), "");
+	EXPECT_EQ(http_server_connection_count(server), 5u);
+	EXPECT_EQ(disconnects, 0);
+}
+
+TEST_F(Server, AFullPortClosesTheConnectionThatIsIdleLongest)
+{
+	struct http_server_settings set = {
+	    {4096, 65536}, 30 * SEC_US, 30 * SEC_US, 2};
+	int idle, other, fd;
+
+	http_server_configure(server, &set);
+	idle = connect_to_server();
+	run_ms(300);
+	other = connect_to_server();
+	run_ms(200);
+	fd = connect_to_server();
+	send_text(fd, GET);
+	ASSERT_TRUE(await_requests(1));
+	EXPECT_EQ(receive(idle, ""), "");
+	EXPECT_EQ(http_server_connection_count(server), 2u);
+	send_text(other, GET);
+	EXPECT_TRUE(await_requests(2));
+}
+
 /* The client, with the tests as the target. */
 
 namespace {
