--- a/daemon/front.c
+++ b/daemon/front.c
@@ -191,7 +191,7 @@
 
 /*
  * Apply the configuration's limits, where it has any, in place of those of the
- * settings.  The body limit of the settings can only be lowered.
+ * settings.
  */
 static void
 apply_limits(struct front_task *f, const struct caller_limits *l)
@@ -200,7 +200,7 @@
 
 	if (l->header_bytes != 0)
 		s.limits.header_bytes = l->header_bytes;
-	if (l->body_bytes != 0 && l->body_bytes < s.limits.body_bytes)
+	if (l->body_bytes != 0)
 		s.limits.body_bytes = l->body_bytes;
 	if (l->header_timeout_us != 0)
 		s.header_timeout_us = l->header_timeout_us;
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -242,7 +242,8 @@
 
 	conn_count_partial(
 	    received, http_message_memory(&received->reader.msg));
-	if (cl->partial_bytes <= cl->settings.max_partial_bytes)
+	if (cl->settings.max_partial_bytes == 0 ||
+	    cl->partial_bytes <= cl->settings.max_partial_bytes)
 		return;
 	TAILQ_FOREACH (c, &cl->busy, entry) {
 		if (c->partial_bytes > largest->partial_bytes)
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -33,7 +33,8 @@
 	/*
 	 * Memory in bytes for responses that are not complete yet, on all
 	 * connections together.  Above it the call whose response takes most
-	 * ends as HTTP_BROKEN, for the peer may send without end.
+	 * ends as HTTP_BROKEN, for the peer may send without end.  0: only the
+	 * account of memory bounds them.
 	 */
 	size_t max_partial_bytes;
 	/*
--- a/daemon/pieces.c
+++ b/daemon/pieces.c
@@ -3,6 +3,7 @@
 
 #include "daemon/body.h"
 #include "daemon/pieces.h"
+#include "wire/frame.h"
 
 /* The rest of a body that is being sent. */
 struct sending {
@@ -101,14 +102,13 @@
 bool
 pieces_are_worthwhile(const struct msg *m)
 {
-	switch (m->kind) {
-	case MSG_FORWARD:
-		return m->u.forward.request.body.len > PIECE_BYTES;
-	case MSG_REPLY:
-		return m->u.reply.body.len > PIECE_BYTES;
-	default:
-		return false;
-	}
+	size_t len = 0;
+
+	if (m->kind == MSG_FORWARD)
+		len = m->u.forward.request.body.len;
+	else if (m->kind == MSG_REPLY)
+		len = m->u.reply.body.len;
+	return len > PIECE_BYTES && len <= FRAME_MAX_FOLLOWING_BYTES;
 }
 
 /* Tell the peer that the rest of a response will not follow. */
