ledger: keep no reply that cannot be handed over

Since responses may be longer than 3 MiB, the ledger could keep one of up to answer-bytes. A daemon that leaves hands its records over in frames of 4 MiB: such a record would be dropped on the way, and its id could run again.

A reply above 3 MiB is not kept; its record still says that the call ran. test-ledger AnAnswerTooLongToBeHandedOverIsNotKept failed before.

--- a/core/ledger.c
+++ b/core/ledger.c
@@ -6,6 +6,12 @@
 
 #include "core/ledger.h"
 
+/*
+ * A longer reply is not kept, as it would not fit the frame in which a daemon
+ * that leaves hands it over.
+ */
+#define MAX_KEPT_REPLY_BYTES (3u << 20)
+
 RB_HEAD(record_tree, ledger_record);
 TAILQ_HEAD(record_queue, ledger_record);
 
@@ -179,7 +185,7 @@
 {
 	size_t size = reply_size(reply);
 
-	if (size > l->max_reply_bytes)
+	if (size > l->max_reply_bytes || size > MAX_KEPT_REPLY_BYTES)
 		return;
 	while (l->reply_bytes + size > l->max_reply_bytes)
 		drop_reply(l, TAILQ_FIRST(&l->by_reply));
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -106,7 +106,7 @@
     struct ledger_record *, struct addr entry_daemon, uint64_t seq);
 /*
  * The call ran: share its reply, unless that alone is larger than
- * max_reply_bytes.
+ * max_reply_bytes or than another daemon could be handed over.
  */
 void ledger_finish(struct ledger *, struct ledger_record *, struct reply *);
 /*
--- a/t/test-ledger.cc
+++ b/t/test-ledger.cc
@@ -113,6 +113,19 @@
 	EXPECT_EQ(ledger.begin("c", 5), LEDGER_RAN);
 }
 
+/* The frame that hands a record over holds 4 MiB. */
+TEST(Ledger, AnAnswerTooLongToBeHandedOverIsNotKept)
+{
+	LedgerFixture ledger(10, 100 << 20);
+
+	ledger.begin("a", 1);
+	ledger.finish(std::string(4 << 20, 'x').c_str());
+	EXPECT_EQ(ledger.begin("a", 2), LEDGER_REPLY_GONE);
+	ledger.begin("b", 3);
+	ledger.finish(std::string(2 << 20, 'x').c_str());
+	EXPECT_EQ(ledger.begin("b", 4), LEDGER_RAN);
+}
+
 TEST(Ledger, UnknownOutcomeStaysUnknown)
 {
 	LedgerFixture ledger;
