link: wait for bodies in pieces before the process ends

A planned stop asks whether the output of links has arrived; bodies whose pieces wait for room were not asked about. Room and output go together now, so the new test IsNotFlushedWhileABodyIsSent passes without the change too; it should not depend on that. Further tests: pieces go to peers that take them, whole bodies to those that do not, and what fits no frame is refused at once.

--- a/daemon/link.c
+++ b/daemon/link.c
@@ -735,7 +735,8 @@
 	const struct link *l;
 
 	LIST_FOREACH (l, &s->links, entry) {
-		if (l->state == LINK_OPEN && !stream_is_flushed(l->stream))
+		if (l->state == LINK_OPEN && (pieces_are_unsent(l->pieces) ||
+						 !stream_is_flushed(l->stream)))
 			return false;
 	}
 	return true;
--- a/daemon/pieces.c
+++ b/daemon/pieces.c
@@ -145,6 +145,12 @@
 	pieces_push(p, now_us);
 }
 
+bool
+pieces_are_unsent(const struct pieces *p)
+{
+	return !TAILQ_EMPTY(&p->sending);
+}
+
 void
 pieces_push(struct pieces *p, uint64_t now_us)
 {
--- a/daemon/pieces.h
+++ b/daemon/pieces.h
@@ -50,6 +50,8 @@
 bool pieces_are_worthwhile(const struct msg *);
 /* Send a message, and its body as far as there is room. */
 void pieces_send(struct pieces *, struct msg *, uint64_t now_us);
+/* Whether a body has not been sent to its end. */
+bool pieces_are_unsent(const struct pieces *);
 /* Send further pieces as long as there is room. */
 void pieces_push(struct pieces *, uint64_t now_us);
 /*
--- a/t/test-link.cc
+++ b/t/test-link.cc
@@ -25,6 +25,7 @@
 	std::vector<enum msg_kind> kinds;
 	std::vector<bool> may_have_sent, unsent_reported;
 	std::vector<uint64_t> seqs;
+	std::vector<enum verdict> verdicts; /* of failures */
 };
 
 void
@@ -36,6 +37,8 @@
 	received->may_have_sent.push_back(m->may_have_sent);
 	received->unsent_reported.push_back(m->unsent_reported);
 	received->seqs.push_back(m->seq);
+	if (m->kind == MSG_REPLY)
+		received->verdicts.push_back(m->u.reply.failure.verdict);
 	msg_destroy(m);
 }
 
@@ -127,13 +130,17 @@
 		event_base_dispatch(d.base);
 	}
 	void
-	send_forward()
+	send_forward(size_t body_len = 0)
 	{
 		struct msg *m = msg_create(MSG_FORWARD);
+		const std::string body(body_len, 'x');
 
 		m->peer = {LOOPBACK_IP, PORT + 1};
 		m->seq = 1;
 		m->u.forward.context.deadline_ms = 5000;
+		if (body_len > 0)
+			buffer_set(&m->u.forward.request.body, body.data(),
+			    body.size());
 		task_send(d.link, m);
 	}
 	/* Read one handshake frame; the loop runs while it waits. */
@@ -171,7 +178,7 @@
 	 * the daemon's key, which is all zeroes here.
 	 */
 	int
-	link_as_peer(uint32_t idle_silence_ms = 0)
+	link_as_peer(uint32_t idle_silence_ms = 0, uint32_t piece_bytes = 0)
 	{
 		struct handshake hello = {}, theirs, proof = {};
 		struct sockaddr_in sin = loopback_addr(PORT);
@@ -185,6 +192,7 @@
 		hello.addr = {LOOPBACK_IP, PORT + 1};
 		hello.nonce[0] = 7;
 		hello.idle_silence_ms = idle_silence_ms;
+		hello.piece_bytes = piece_bytes;
 		write_handshake(fd, hello);
 		theirs = read_handshake(fd);
 		crypto_generichash_init(
@@ -198,6 +206,41 @@
 		return fd;
 	}
 
+	/*
+	 * Read the frames that come within some time, keepalives left out.  The
+	 * caller destroys the messages.
+	 */
+	std::vector<struct msg *>
+	read_frames(int fd, int ms)
+	{
+		std::vector<struct msg *> list;
+		std::string got;
+		char buf[65536];
+		struct msg *m;
+		size_t used;
+		ssize_t n;
+
+		for (; ms > 0; ms -= 5) {
+			run_ms(5);
+			while (
+			    (n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+				got.append(buf, (size_t)n);
+		}
+		while (got.size() >= FRAME_LENGTH_BYTES) {
+			if (got.compare(0, 4, std::string(4, '\0')) == 0) {
+				got.erase(0, 4);
+				continue;
+			}
+			if (frame_decode(
+				reinterpret_cast<const uint8_t *>(got.data()),
+				got.size(), &m, &used) != FRAME_OK)
+				break;
+			list.push_back(m);
+			got.erase(0, used);
+		}
+		return list;
+	}
+
 	struct daemon d = {};
 	struct settings *settings;
 	ReceivedMessages received;
@@ -375,3 +418,73 @@
 	EXPECT_EQ(received.kinds, std::vector<enum msg_kind>{MSG_LINK_DOWN});
 	close(fd);
 }
+
+TEST_F(Link, ALongBodyFollowsInPieces)
+{
+	int fd = link_as_peer(0, 65536);
+	size_t got = 0;
+
+	run_ms(20);
+	send_forward(300000);
+	auto frames = read_frames(fd, 200);
+	ASSERT_EQ(frames.size(), 6u);
+	EXPECT_EQ(frames[0]->kind, MSG_FORWARD);
+	EXPECT_EQ(frames[0]->body_follows, 300000u);
+	EXPECT_EQ(frames[0]->u.forward.request.body.len, 0u);
+	for (struct msg *m : frames) {
+		got += m->kind == MSG_PIECE ? m->u.piece.data.len : 0;
+		msg_destroy(m);
+	}
+	EXPECT_EQ(got, 300000u);
+	close(fd);
+}
+
+/* A daemon of an earlier version would run the request without its body. */
+TEST_F(Link, APeerThatTakesNoPiecesGetsTheWholeBody)
+{
+	int fd = link_as_peer();
+
+	run_ms(20);
+	send_forward(300000);
+	auto frames = read_frames(fd, 200);
+	ASSERT_EQ(frames.size(), 1u);
+	EXPECT_EQ(frames[0]->u.forward.request.body.len, 300000u);
+	EXPECT_EQ(frames[0]->body_follows, 0u);
+	msg_destroy(frames[0]);
+	close(fd);
+}
+
+TEST_F(Link, ABodyTooLongForSuchAPeerIsRefusedAtOnce)
+{
+	int fd = link_as_peer();
+
+	run_ms(20);
+	send_forward(5 << 20);
+	EXPECT_TRUE(read_frames(fd, 50).empty());
+	ASSERT_EQ(received.kinds, std::vector<enum msg_kind>{MSG_REPLY});
+	EXPECT_EQ(received.seqs[0], 1u);
+	EXPECT_EQ(received.verdicts[0], VERDICT_NOT_RUN);
+	close(fd);
+}
+
+/* A planned stop must not cut a response that is sent in pieces. */
+TEST_F(Link, IsNotFlushedWhileABodyIsSent)
+{
+	int fd = link_as_peer(0, 65536);
+	struct msg *m = msg_create(MSG_FLUSH);
+
+	run_ms(20);
+	send_forward(32 << 20);
+	run_ms(20);
+	m->seq = 9;
+	task_send(d.link, m);
+	run_ms(100);
+	EXPECT_TRUE(received.kinds.empty());
+	for (struct msg *f : read_frames(fd, 1500))
+		msg_destroy(f);
+	/* The peer, which sends nothing, may count as silent by then. */
+	ASSERT_GE(received.kinds.size(), 1u);
+	EXPECT_EQ(received.kinds[0], MSG_FLUSHED);
+	EXPECT_EQ(received.seqs[0], 9u);
+	close(fd);
+}
