link: count a request that is refused while it arrives as ended

A request in pieces that gave way was refused without the link's count of calls in progress being told. Until its deadline the link then bore only the short silence of one with calls, and afterwards could not be superseded.

test-link ARequestThatGivesWayIsNoLongerInProgress failed before.

--- a/daemon/link.c
+++ b/daemon/link.c
@@ -371,6 +371,9 @@
 static void
 on_send(void *owner, struct msg *m)
 {
+	/* A message whose body follows was counted by send_message(). */
+	if (m->body_follows == 0)
+		note_message(owner, m);
 	send_frame(owner, m);
 }
 
--- a/t/test-link.cc
+++ b/t/test-link.cc
@@ -439,6 +439,52 @@
 	close(fd);
 }
 
+/*
+ * A peer's request that is refused while it arrives no longer counts as one in
+ * progress, during which a peer may not be silent for long.
+ */
+TEST_F(Link, ARequestThatGivesWayIsNoLongerInProgress)
+{
+	struct account *memory = account_create(1 << 20, 0, nullptr, nullptr);
+	struct buffer buf = {};
+	struct msg *m = msg_create(MSG_FORWARD);
+	int fd, replies = 0;
+
+	task_destroy(d.link);
+	d.memory = memory;
+	d.link = link_task_create(&d);
+	fd = link_as_peer(1700, 65536);
+	m->seq = 5;
+	m->body_follows = 100000;
+	m->u.forward.context.deadline_ms = 60000;
+	frame_encode(m, &buf);
+	msg_destroy(m);
+	ASSERT_EQ(write(fd, buf.data, buf.len), (ssize_t)buf.len);
+	run_ms(50);
+	frame_encode_piece(
+	    5, false, std::string(50000, 'x').data(), 50000, &buf);
+	ASSERT_EQ(write(fd, buf.data, buf.len), (ssize_t)buf.len);
+	run_ms(50);
+	account_set_limit(memory, account_state(memory)->held - 1, 0);
+	account_make_room(memory, nullptr, daemon_now().mono_us);
+	EXPECT_EQ(account_state(memory)->gave_way[HOLDER_ARRIVING], 1u);
+	account_set_limit(memory, 1 << 20, 0);
+	for (struct msg *r : read_frames(fd, 100)) {
+		replies += r->kind == MSG_REPLY && r->seq == 5;
+		msg_destroy(r);
+	}
+	EXPECT_EQ(replies, 1);
+	/* With a call in progress the silent peer would count as lost. */
+	run_ms(1100);
+	EXPECT_TRUE(received.kinds.empty());
+	buffer_release(&buf);
+	close(fd);
+	task_destroy(d.link);
+	d.memory = nullptr;
+	d.link = link_task_create(&d);
+	account_destroy(memory);
+}
+
 /* A daemon of an earlier version would run the request without its body. */
 TEST_F(Link, APeerThatTakesNoPiecesGetsTheWholeBody)
 {
