body: keep what arrives in blocks, and join them at the end

A body that grows was moved to a larger allocation time and again. Where the C library can move pages that costs little; elsewhere the old and the new one are there together, and a body takes nearly twice its size.

--- a/daemon/body.h
+++ b/daemon/body.h
@@ -1,36 +1,51 @@
 /*
- * body - memory for a body that arrives in parts
+ * body - a body that arrives in parts
  *
- * A large body is allocated from the system by pages, which take memory only
- * once they were written to, so that it may have room to grow.
+ * What has come is kept in blocks, and is never copied to a larger one as it
+ * grows.  At the end the blocks become one, and each is freed once it was
+ * copied, so that a body takes its size in memory, and a block more for a
+ * moment.
  *
- *	cap = body_reserve(&data, cap, len + more, most);
- *	memcpy(data + len, part, more);
- *	charge(body_memory(len, cap));
+ *	struct body b = {0};
+ *	body_append(&b, data, len);
+ *	charge(body_memory(&b));
+ *	whole = body_join(&b, &len);	or body_release(&b)
+ *
+ * A body of all zeroes is empty.
  */
 #ifndef DAEMON_BODY_H
 #define DAEMON_BODY_H
 
+#include <bsd/sys/queue.h>
 #include <stddef.h>
 
-/*
- * Allocations above this size are made by pages, and given back to the system
- * when they are freed.
- */
-#define BODY_PAGED_BYTES (128u << 10)
+struct body_block;
+STAILQ_HEAD(body_blocks, body_block);
+
+/* Its members are for body.c, but for len. */
+struct body {
+	size_t len; /* bytes that have come */
+	char *start; /* the first of them, in an allocation that grows */
+	size_t start_len, start_cap;
+	struct body_blocks blocks; /* the others; unset while there are none */
+	size_t nblocks;
+};
 
 /*
- * Fix the C library's threshold at BODY_PAGED_BYTES; it would raise it after
- * the first large body.  To be called once, by main().
+ * Have large allocations given back to the system when they are freed; the C
+ * library would stop that after the first one.  To be called once, by main().
  */
 void body_setup(void);
+/* Add the next bytes.  Aborts if there is no memory, as do the others. */
+void body_append(struct body *, const void *, size_t);
+/* Memory that the body takes. */
+size_t body_memory(const struct body *);
 /*
- * Enlarge an allocation of cap bytes, NULL with 0, to at least want bytes.
- * It will never have to hold more than most bytes; 0: that is not known.
- * Returns its size.  Aborts if there is no memory.
+ * Return the bytes, with a NUL after them, in an allocation that the caller
+ * frees, or NULL if there are none.  The body is empty afterwards.
  */
-size_t body_reserve(char **data, size_t cap, size_t want, size_t most);
-/* Memory that an allocation of cap bytes takes of which len are in use. */
-size_t body_memory(size_t len, size_t cap);
+char *body_join(struct body *, size_t *len);
+/* Free the bytes; the body is empty afterwards. */
+void body_release(struct body *);
 
 #endif
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -240,8 +240,7 @@
 	struct http_client *cl = received->client;
 	struct client_conn *c, *largest = received;
 
-	conn_count_partial(
-	    received, http_message_memory(&received->reader.msg));
+	conn_count_partial(received, http_reader_memory(&received->reader));
 	if (cl->settings.max_partial_bytes == 0 ||
 	    cl->partial_bytes <= cl->settings.max_partial_bytes)
 		return;
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <strings.h>
 
-#include "daemon/body.h"
 #include "daemon/http_message.h"
 
 #define INITIAL_TEXT_BYTES 1024 /* first allocation for a message's text */
@@ -182,7 +181,7 @@
 check_announced(struct http_parser *p)
 {
 	struct http_reader *r = reader_of(p);
-	size_t room = r->limits.body_bytes - r->msg.body_len;
+	size_t room = r->limits.body_bytes - r->body.len;
 
 	if (p->content_length <= room)
 		return 0;
@@ -228,17 +227,12 @@
 on_body(struct http_parser *p, const char *at, size_t len)
 {
 	struct http_reader *r = reader_of(p);
-	struct http_message *m = &r->msg;
 
-	if (m->body_len + len > r->limits.body_bytes) {
+	if (len > r->limits.body_bytes - r->body.len) {
 		r->state = HTTP_READER_BODY_TOO_LONG;
 		return -1;
 	}
-	m->body_cap =
-	    body_reserve(&m->body, m->body_cap, m->body_len + len + 1, 0);
-	memcpy(m->body + m->body_len, at, len);
-	m->body_len += len;
-	m->body[m->body_len] = '\0';
+	body_append(&r->body, at, len);
 	return 0;
 }
 
@@ -250,6 +244,7 @@
 	/* The library overlooks an element behind a tab. */
 	r->msg.keep_alive = http_should_keep_alive(p) != 0 &&
 			    !http_message_lists(&r->msg, "Connection", "close");
+	r->msg.body = body_join(&r->body, &r->msg.body_len);
 	r->state = HTTP_READER_COMPLETE;
 	http_parser_pause(p, 1);
 	return 0;
@@ -287,6 +282,7 @@
 void
 http_reader_release(struct http_reader *r)
 {
+	body_release(&r->body);
 	http_message_release(&r->msg);
 }
 
@@ -384,6 +380,7 @@
 	enum http_parser_type type = (enum http_parser_type)r->parser.type;
 
 	http_message_release(&r->msg);
+	body_release(&r->body);
 	begin_message(r, type);
 	r->state = HTTP_READER_HEAD;
 	r->head_bytes = 0;
@@ -394,19 +391,21 @@
 void
 http_message_take_body(struct http_message *m, struct buffer *to)
 {
-	char *fitted = NULL;
-
-	if (m->body != NULL)
-		fitted = realloc(m->body, m->body_len + 1);
-	buffer_adopt(to, fitted != NULL ? fitted : m->body, m->body_len);
+	buffer_adopt(to, m->body, m->body_len);
 	m->body = NULL;
-	m->body_len = m->body_cap = 0;
+	m->body_len = 0;
+}
+
+size_t
+http_reader_memory(const struct http_reader *r)
+{
+	return http_message_memory(&r->msg) + body_memory(&r->body);
 }
 
 size_t
 http_message_memory(const struct http_message *m)
 {
-	return m->text_cap + body_memory(m->body_len, m->body_cap);
+	return m->text_cap + m->body_len;
 }
 
 const char *
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -20,6 +20,7 @@
 #include <http_parser.h>
 
 #include "core/types.h"
+#include "daemon/body.h"
 #include "wire/http_syntax.h"
 
 #define HTTP_MAX_FIELDS 100 /* header lines in one message */
@@ -46,7 +47,7 @@
 	int nfields;
 	struct http_field fields[HTTP_MAX_FIELDS];
 	char *body; /* NULL if empty; a NUL follows the last byte */
-	size_t body_len, body_cap; /* bytes used and allocated */
+	size_t body_len;
 	bool keep_alive; /* the connection may be reused afterwards */
 	bool expects_continue; /* has "Expect: 100-continue" */
 	bool until_close; /* a response whose body ends with the connection */
@@ -66,6 +67,7 @@
 	struct http_parser parser;
 	struct http_scan scan; /* ahead of the parser */
 	struct http_message msg;
+	struct body body; /* as far as it has come; msg has it at the end */
 	struct http_limits limits;
 	enum http_reader_state state;
 	size_t head_bytes; /* bytes received of start line and headers */
@@ -104,6 +106,8 @@
  * has no body afterwards.
  */
 void http_message_take_body(struct http_message *, struct buffer *);
+/* Memory in bytes that a reader and the message being read take. */
+size_t http_reader_memory(const struct http_reader *);
 /* Memory in bytes that a message takes. */
 size_t http_message_memory(const struct http_message *);
 /* The value of the first header with that name in any case, or NULL. */
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -90,7 +90,7 @@
 	    !TAILQ_EMPTY(&c->exchanges) && !c->reader.started && unsent == 0;
 
 	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES +
-				   http_message_memory(&c->reader.msg) +
+				   http_reader_memory(&c->reader) +
 				   c->unparsed.len + c->exchanges_held +
 				   unsent);
 	holder_set_waiting(&c->memory, waiting, c->last_active_us);
@@ -198,11 +198,8 @@
 end_request(struct http_conn *c)
 {
 	struct http_exchange *ex = exchange_create(c);
-	struct buffer body = {0};
 
-	http_message_take_body(&ex->request, &body);
-	buffer_release(&body);
-	exchange_set_held(ex, sizeof(*ex) + http_message_memory(&ex->request));
+	body_release(&c->reader.body);
 	c->reader.started = false;
 	c->ending = true;
 	c->ending_since_us = daemon_now().mono_us;
@@ -226,7 +223,7 @@
 is_mostly_unread_request(const struct http_conn *c)
 {
 	return c->reader.started && !c->ending &&
-	       http_message_memory(&c->reader.msg) > c->memory.held / 2;
+	       http_reader_memory(&c->reader) > c->memory.held / 2;
 }
 
 /*
--- a/daemon/pieces.c
+++ b/daemon/pieces.c
@@ -21,8 +21,7 @@
 	TAILQ_ENTRY(arriving) entry;
 	struct pieces *pieces;
 	struct msg *msg;
-	char *body; /* allocated as it arrives */
-	size_t received, allocated;
+	struct body body;
 	uint64_t started_us; /* when the message arrived */
 	struct holder memory;
 };
@@ -73,7 +72,7 @@
 {
 	TAILQ_REMOVE(&a->pieces->arriving, a, entry);
 	holder_release(&a->memory);
-	free(a->body);
+	body_release(&a->body);
 	free(a);
 }
 
@@ -291,9 +290,11 @@
 	uint64_t took_ms = (now_us - a->started_us) / MSEC_US;
 	struct pieces *p = a->pieces;
 	struct msg *m = a->msg;
+	size_t len;
+	char *data;
 
-	buffer_adopt(body_of(m), a->body, a->received);
-	a->body = NULL;
+	data = body_join(&a->body, &len);
+	buffer_adopt(body_of(m), data, len);
 	m->body_follows = 0;
 	if (m->kind == MSG_FORWARD) {
 		take_off(&m->u.forward.context.deadline_ms, took_ms);
@@ -303,17 +304,6 @@
 	p->ops->arrived(p->owner, m);
 }
 
-/* Allocate as the bytes arrive, since the peer may never send them all. */
-static void
-reserve(struct arriving *a, size_t len)
-{
-	a->allocated = body_reserve(&a->body, a->allocated,
-	    a->received + len + 1, a->msg->body_follows + 1);
-	holder_set(
-	    &a->memory, sizeof(*a) + sizeof(*a->msg) +
-			    body_memory(a->received + len, a->allocated));
-}
-
 static bool
 add_piece(struct pieces *p, const struct msg *m, uint64_t now_us)
 {
@@ -330,14 +320,12 @@
 			arriving_destroy(a);
 		return true;
 	}
-	if (piece->data.len > a->msg->body_follows - a->received)
+	if (piece->data.len > a->msg->body_follows - a->body.len)
 		return false;
-	reserve(a, piece->data.len);
-	memcpy(a->body + a->received, piece->data.data, piece->data.len);
-	a->received += piece->data.len;
-	a->body[a->received] = '\0';
+	body_append(&a->body, piece->data.data, piece->data.len);
+	holder_set(&a->memory, sizeof(*a) + sizeof(*m) + body_memory(&a->body));
 	holder_moved(&a->memory, piece->data.len, now_us);
-	if (a->received == a->msg->body_follows)
+	if (a->body.len == a->msg->body_follows)
 		finish_body(a, now_us);
 	return true;
 }
--- a/t/test-body.cc
+++ b/t/test-body.cc
@@ -1,11 +1,11 @@
 /*
- * Tests of the memory of bodies that arrive in parts: their content survives
- * each growth, and what is said of their memory is what they can have used.
+ * Tests of bodies that arrive in parts: they come out as they went in, and
+ * what is said of their memory is what they can have used.
  */
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <cstring>
+#include <string>
 
 extern "C" {
 #include "daemon/body.h"
@@ -13,49 +13,83 @@
 
 namespace {
 
-/* Fill a body in parts, and check it; returns the size of its allocation. */
-size_t
-fill(size_t total, size_t part, size_t most)
+std::string
+text_of(size_t len)
 {
-	char *data = nullptr;
-	size_t cap = 0, len, i;
-
-	for (len = 0; len < total; len += part) {
-		cap = body_reserve(&data, cap, len + part, most);
-		EXPECT_GE(cap, len + part);
-		memset(data + len, (int)(len / part % 251), part);
-		EXPECT_GE(body_memory(len + part, cap), len + part);
-		EXPECT_LE(body_memory(len + part, cap), cap);
+	std::string s(len, 0);
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		s[i] = (char)((i * 31 + i / 251) % 253);
+	return s;
+}
+
+/* Append a text in parts, and join it. */
+void
+expect_whole(size_t len, size_t part)
+{
+	std::string text = text_of(len);
+	struct body b = {};
+	size_t at, n, got;
+	char *whole;
+
+	for (at = 0; at < len; at += n) {
+		n = std::min(part, len - at);
+		body_append(&b, text.data() + at, n);
+		ASSERT_EQ(b.len, at + n);
+		ASSERT_GE(body_memory(&b), at + n);
+		ASSERT_LE(body_memory(&b), 2 * (at + n) + 65536);
 	}
-	for (i = 0; i < total; i++)
-		EXPECT_EQ((unsigned char)data[i], i / part % 251);
-	free(data);
-	return cap;
+	/* A long one takes little more than its size. */
+	if (len > 1 << 20) {
+		EXPECT_LE(body_memory(&b), len + len / 32);
+	}
+	whole = body_join(&b, &got);
+	ASSERT_EQ(got, len);
+	EXPECT_EQ(std::string(whole, got), text);
+	EXPECT_EQ(whole[got], '\0');
+	EXPECT_EQ(body_memory(&b), 0u);
+	free(whole);
 }
 
 } // namespace
 
-TEST(Body, KeepsItsContentAsItGrows)
+TEST(Body, ComesOutAsItWentIn)
 {
-	fill(1000, 1, 0);
-	fill(200000, 1000, 0);
-	EXPECT_LE(fill(8 << 20, 65536, 0), (8u << 20) * 5 / 4);
+	for (size_t len : {1, 2, 1000, 65535, 65536, 65537, 200000, 327680,
+		 327681, 1000000}) {
+		expect_whole(len, 1 + len / 7);
+		expect_whole(len, 65536);
+		expect_whole(len, len);
+	}
+	expect_whole(70000, 1);
+	expect_whole(5 << 20, 65536);
 }
 
-TEST(Body, TakesNoMoreThanItsKnownLength)
+TEST(Body, AnEmptyOneIsNothing)
 {
-	EXPECT_EQ(fill(1 << 20, 65536, 1 << 20), 1u << 20);
-	EXPECT_EQ(fill(300, 100, 300), 300u);
+	struct body b = {};
+	size_t len = 1;
+
+	EXPECT_EQ(body_join(&b, &len), nullptr);
+	EXPECT_EQ(len, 0u);
+	body_append(&b, "", 0);
+	EXPECT_EQ(body_memory(&b), 0u);
+	body_release(&b);
 }
 
-TEST(Body, RoomThatWasNotWrittenToTakesNoMemory)
+TEST(Body, MayBeReleasedAndUsedAgain)
 {
-	char *data = nullptr;
-	size_t cap = body_reserve(&data, 0, 8 << 20, 0);
-
-	EXPECT_GT(cap, 9u << 20);
-	EXPECT_LE(body_memory(8 << 20, cap), (8u << 20) + 4096);
-	/* The room of a small one may have been used before. */
-	EXPECT_EQ(body_memory(100, 200), 200u);
-	free(data);
+	std::string text = text_of(1 << 20);
+	struct body b = {};
+	size_t len;
+	char *whole;
+
+	body_append(&b, text.data(), text.size());
+	body_release(&b);
+	EXPECT_EQ(body_memory(&b), 0u);
+	body_append(&b, "wells", 5);
+	whole = body_join(&b, &len);
+	EXPECT_STREQ(whole, "wells");
+	free(whole);
 }
