--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -8,7 +8,7 @@
 
 #define MAX_HEADER_BYTES 8192 /* request line and headers */
 #define MAX_BODY_BYTES 16384 /* body of an announcement */
-#define MAX_CONNECTIONS 64 /* further ones are closed at once */
+#define MAX_CONNECTIONS 64 /* above it the idlest one is closed */
 /* To receive a request line and headers, and for an idle connection. */
 #define CONNECTION_TIMEOUT_US (30 * SEC_US)
 
--- a/daemon/holdings.c
+++ b/daemon/holdings.c
@@ -15,16 +15,15 @@
 /* Part of that which is reserved for links, the platform and the operators. */
 #define RESERVED_PERCENT 5
 #define BYTES_PER_MB 1000000
-#define UNKNOWN_MEMORY_BYTES                                                   \
-	(UINT64_C(1) << 30) /* if the system does not tell */
+/* Assumed if the system does not tell. */
+#define UNKNOWN_MEMORY_BYTES (UINT64_C(1) << 30)
 /*
  * Descriptors that are no connections, such as the event loop's and the ports:
  * one in this many, and at least so many.
  */
 #define OTHER_FILES_DIVISOR 16
 #define MIN_OTHER_FILES 16
-/* Part of the others that is reserved for links, the target and the platform.
- */
+/* Part of the others that is reserved for links, target and platform. */
 #define RESERVED_DESCRIPTORS_PERCENT 25
 /* Above and below these parts of the limit a line is logged. */
 #define SHORT_PERCENT 90
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -11,7 +11,7 @@
 #include "daemon/log.h"
 
 #define MAX_HEADER_BYTES 8192 /* request line and headers */
-#define MAX_CONNECTIONS 64 /* to each port; further ones are closed at once */
+#define MAX_CONNECTIONS 64 /* to each port; above it the idlest is closed */
 /* To receive a request line and headers, and for an idle connection. */
 #define CONNECTION_TIMEOUT_US (30 * SEC_US)
 #define METRICS_PATH "/metrics"
