holdings: log nothing without holdings, also under the sanitizers

holdings_log() took the addresses of the members before it looked whether there are any holdings, which is undefined without them; the daemon always has some, test-decide has none.

--- a/daemon/holdings.c
+++ b/daemon/holdings.c
@@ -198,18 +198,20 @@
 	r->logged_s = current_s;
 }
 
+static void
+log_resource(struct resource *r)
+{
+	const struct account_state *s = account_state(r->account);
+
+	log_shortness(r, s);
+	log_gave_way(r, s);
+}
+
 void
 holdings_log(struct holdings *h)
 {
-	struct resource *const resources[] = {&h->memory, &h->descriptors};
-	const struct account_state *s;
-	size_t i;
-
 	if (h == NULL)
 		return;
-	for (i = 0; i < sizeof(resources) / sizeof(resources[0]); i++) {
-		s = account_state(resources[i]->account);
-		log_shortness(resources[i], s);
-		log_gave_way(resources[i], s);
-	}
+	log_resource(&h->memory);
+	log_resource(&h->descriptors);
 }
