t: show what unread answers, tiny chunks and short header lines do

- FullServer.AResponseIsChargedUntilItWasSent: 8.7 MB are charged of a response of 12.6 MB that is half sent and all in memory.
- FullServer.ACallerIsNotHeldUpByTinyChunks: a short request is read after 20 bodies of 10,000 one-byte chunks that came before it.
- HttpMessage.AHeadWithinItsLimitMayHaveManyLines: a head with more than 100 lines is answered with 400, although the limit of the users' pages is 16 KB.

Crowds and bounds are fixed here, before the product changes.

--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -185,6 +185,23 @@
 	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid/status"
 }
 
+# socket_bytes PORT: what the system keeps in the sockets of a port, in kB:
+# received and not read, or sent and not acknowledged
+socket_bytes () {
+	awk -v port="$(printf ':%04X$' "$1")" '
+		function hex(s,    i, n) {
+			for (i = 1; i <= length(s); i++)
+				n = 16 * n + index("0123456789ABCDEF",
+				    substr(s, i, 1)) - 1
+			return n
+		}
+		$2 ~ port {
+			split($5, queue, ":")
+			sum += hex(queue[1]) + hex(queue[2])
+		}
+		END { printf "%d\n", sum / 1024 }' /proc/net/tcp
+}
+
 # descriptor_count NUMBER: the descriptors that a daemon has open
 descriptor_count () {
 	eval "pid=\$DAEMON_PID_$1"
--- a/t/standin-crowd.c
+++ b/t/standin-crowd.c
@@ -10,6 +10,7 @@
  *	announce	sends a head with Content-Length: --bytes, and no body
  *	endless		sends a body in chunks of --chunk bytes without end
  *	unread		sends --requests requests at once and reads nothing
+ *	pipeline	does so, and goes on with bodies of --bytes without end
  *	silent		sends the start of a head, and stays
  *
  * A connection is opened every --pace-ms, or all are at once.  One that the
@@ -155,6 +156,21 @@
 		append_chunk(c, (size_t)chunk);
 }
 
+/* Requests with a body of zero bytes, one after the other. */
+static void
+fill_pipeline(struct client *c)
+{
+	static const char body[MAX_CHUNK_BYTES];
+	gchar *length =
+	    g_strdup_printf("Content-Length: %" PRId64 "\r\n", bytes);
+	uint64_t sent;
+
+	append_head(c, "POST", length);
+	for (sent = 0; sent < (uint64_t)bytes; sent += sizeof(body))
+		append(c, body, MIN(sizeof(body), (uint64_t)bytes - sent));
+	g_free(length);
+}
+
 static void
 fill_nothing(struct client *c)
 {
@@ -192,6 +208,7 @@
     {"announce", start_announce, fill_nothing, true},
     {"endless", start_chunked, fill_endless, true},
     {"unread", start_unread, fill_nothing, false},
+    {"pipeline", start_unread, fill_pipeline, false},
     {"silent", start_silent, fill_nothing, true},
 };
 
--- a/t/test-http-message.cc
+++ b/t/test-http-message.cc
@@ -251,6 +251,29 @@
 	EXPECT_EQ(body.r.state, HTTP_READER_BODY_TOO_LONG);
 }
 
+/* The limit of the head is the only one on its lines. */
+TEST(HttpMessage, AHeadWithinItsLimitMayHaveManyLines)
+{
+	std::string head = "GET / HTTP/1.1\r\nHost: x\r\n";
+	Reader reader(HTTP_READ_REQUEST);
+	int n = 0;
+
+	while (head.size() + sizeof("a9999:9\r\n\r\n") < LIMITS.header_bytes) {
+		head += "a" + std::to_string(n) + ":" + std::to_string(n % 10) +
+			"\r\n";
+		n++;
+	}
+	reader.feed(head + "\r\n", 1000);
+	ASSERT_EQ(reader.r.state, HTTP_READER_COMPLETE);
+	ASSERT_EQ(reader.r.msg.nfields, n + 1);
+	for (int i = 0; i < n; i++)
+		EXPECT_STREQ(http_message_field(&reader.r.msg,
+				 ("a" + std::to_string(i)).c_str()),
+		    std::to_string(i % 10).c_str());
+	EXPECT_GE(http_reader_memory(&reader.r),
+	    reader.r.msg.text_len + (size_t)n * sizeof(struct http_field));
+}
+
 /* Guards against bodies that are kept up to the limit before their refusal. */
 TEST(HttpMessage, RefusesABodyOnceItsLengthIsKnownToBeTooLong)
 {
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -485,6 +485,20 @@
 		return got;
 	}
 
+	/* Respond with a body that the server takes over. */
+	void
+	respond_owned(size_t i, size_t len)
+	{
+		struct http_response response = {};
+		const std::string text(len, 'x');
+		struct buffer body = {};
+
+		buffer_set(&body, text.data(), len);
+		response.status = 200;
+		response.owned_body = &body;
+		http_exchange_respond(exchanges[i], &response);
+	}
+
 	struct account *memory;
 	int refused_heads = 0;
 };
@@ -647,6 +661,60 @@
 	EXPECT_EQ(exchanges.size(), 0u);
 }
 
+/* A response takes all of its memory until the last of it was sent. */
+TEST_F(FullServer, AResponseIsChargedUntilItWasSent)
+{
+	const size_t len = 12 << 20, short_len = 100000;
+	int unread = connect_to_server(), other = connect_to_server();
+	int small = 4096;
+	size_t held, got = 0;
+
+	setsockopt(unread, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	account_set_limit(memory, 64 << 20, 0);
+	send_text(unread, GET);
+	ASSERT_TRUE(await_requests(1));
+	respond_owned(0, len);
+	run_ms(20);
+	drain(unread);
+	run_ms(20);
+	held = account_state(memory)->held;
+	EXPECT_GE(held, len);
+	send_text(other, GET);
+	ASSERT_TRUE(await_requests(2));
+	respond_owned(1, short_len);
+	EXPECT_GE(account_state(memory)->held, held + short_len);
+	EXPECT_TRUE(run_until([&] {
+		got += drain(other);
+		return got >= short_len;
+	}));
+	EXPECT_LE(account_state(memory)->held, held);
+}
+
+/* Guards against callers that wait while the tiny chunks of others are read. */
+TEST_F(FullServer, ACallerIsNotHeldUpByTinyChunks)
+{
+	const size_t crowd = 20, nchunks = 10000;
+	std::string chunks;
+	size_t i;
+
+	account_set_limit(memory, 64 << 20, 0);
+	for (i = 0; i < nchunks; i++)
+		chunks += "1\r\nx\r\n";
+	for (i = 0; i <= crowd; i++)
+		connect_to_server();
+	run_ms(20);
+	for (i = 0; i < crowd; i++)
+		send_text(fds[i], "POST /x HTTP/1.1\r\nHost: x\r\n"
+				  "Transfer-Encoding: chunked\r\n\r\n" +
+				      chunks + "0\r\n\r\n");
+	send_text(fds[crowd], GET);
+	ASSERT_TRUE(await_requests(crowd + 1));
+	EXPECT_STREQ(http_exchange_request(exchanges[0])->method, "GET");
+	for (i = 1; i <= crowd; i++)
+		EXPECT_EQ(
+		    http_exchange_request(exchanges[i])->body_len, nchunks);
+}
+
 /* The server, with few descriptors. */
 
 namespace {
