http_server: charge a response until all of it was sent

Cause: what a response takes was charged by the bytes that are still to be sent. A body that goes to the socket by reference is in memory until its last byte was sent; and each short response, such as a refusal, is an allocation of over 1 KB in the output for some 300 bytes.

An exchange now stays, with its charge, until its response was sent, and short responses are copied together in the output. FullServer.AResponseIsChargedUntilItWasSent failed before (8.7 MB charged of 12.6) and passes.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -25,6 +25,10 @@
  */
 #define CONNECTION_OVERHEAD_BYTES 2048
 #define REQUEST_OVERHEAD_BYTES 4096
+/* The least that a response takes in a buffer of its own. */
+#define RESPONSE_OVERHEAD_BYTES 1280
+/* Shorter responses are copied to the output, where they take less. */
+#define MIN_MOVED_RESPONSE_BYTES 4096
 
 struct http_exchange {
 	TAILQ_ENTRY(http_exchange) entry;
@@ -32,6 +36,7 @@
 	struct http_message request;
 	/* Set once answered; sent after the responses to earlier requests. */
 	struct evbuffer *response;
+	uint64_t sent_until; /* stream_bytes_sent() once all of it was sent */
 	size_t held; /* bytes charged for the request or the response */
 	void *user_data; /* of the server's owner */
 	bool closes_conn; /* the connection closes after this response */
@@ -45,9 +50,10 @@
 	struct http_server *server;
 	struct stream *stream;
 	struct http_reader reader;
-	struct exchange_list exchanges;
+	struct exchange_list exchanges; /* not answered, or not their turn */
 	unsigned int nexchanges;
-	size_t exchanges_held; /* sum of theirs */
+	struct exchange_list sending; /* their responses are being sent */
+	size_t exchanges_held; /* sum of both */
 	struct holder memory;
 	struct holder descriptor;
 	struct buffer unparsed; /* received, but not parsed while paused */
@@ -85,14 +91,12 @@
 static void
 conn_charge(struct http_conn *c)
 {
-	size_t unsent = stream_bytes_pending(c->stream);
-	bool waiting =
-	    !TAILQ_EMPTY(&c->exchanges) && !c->reader.started && unsent == 0;
+	bool waiting = !TAILQ_EMPTY(&c->exchanges) && !c->reader.started &&
+		       TAILQ_EMPTY(&c->sending);
 
 	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES +
 				   http_reader_memory(&c->reader) +
-				   c->unparsed.len + c->exchanges_held +
-				   unsent);
+				   c->unparsed.len + c->exchanges_held);
 	holder_set_waiting(&c->memory, waiting, c->last_active_us);
 	holder_set_waiting(&c->descriptor, waiting, c->last_active_us);
 }
@@ -112,12 +116,12 @@
 	holder_finished(&c->descriptor, c->last_active_us);
 }
 
+/* Take an exchange off the list that it is in and free it. */
 static void
-exchange_free(struct http_exchange *ex)
+exchange_free(struct http_exchange *ex, struct exchange_list *list)
 {
 	exchange_set_held(ex, 0);
-	TAILQ_REMOVE(&ex->conn->exchanges, ex, entry);
-	ex->conn->nexchanges--;
+	TAILQ_REMOVE(list, ex, entry);
 	if (ex->response != NULL)
 		evbuffer_free(ex->response);
 	http_message_release(&ex->request);
@@ -133,8 +137,10 @@
 		if (notify_owner && ex->delivered && ex->response == NULL &&
 		    c->server->ops->disconnected != NULL)
 			c->server->ops->disconnected(c->server->owner, ex);
-		exchange_free(ex);
+		exchange_free(ex, &c->exchanges);
 	}
+	while ((ex = TAILQ_FIRST(&c->sending)) != NULL)
+		exchange_free(ex, &c->sending);
 	LIST_REMOVE(c, entry);
 	c->server->nconns--;
 	holder_release(&c->memory);
@@ -155,6 +161,44 @@
 	c->ending_since_us = daemon_now().mono_us;
 }
 
+static void
+add_to_output(struct http_conn *c, struct http_exchange *ex)
+{
+	size_t len = evbuffer_get_length(ex->response);
+
+	if (len < MIN_MOVED_RESPONSE_BYTES) {
+		evbuffer_add(stream_output(c->stream),
+		    evbuffer_pullup(ex->response, -1), len);
+		exchange_set_held(ex, sizeof(*ex) + len);
+	} else {
+		evbuffer_add_buffer(stream_output(c->stream), ex->response);
+	}
+	evbuffer_free(ex->response);
+	ex->response = NULL;
+}
+
+/* The bytes of a response are kept until the last of them was sent. */
+static void
+move_to_sending(struct http_conn *c, struct http_exchange *ex)
+{
+	TAILQ_REMOVE(&c->exchanges, ex, entry);
+	c->nexchanges--;
+	ex->sent_until =
+	    stream_bytes_sent(c->stream) + stream_bytes_pending(c->stream);
+	TAILQ_INSERT_TAIL(&c->sending, ex, entry);
+}
+
+/* Free the exchanges whose responses were sent. */
+static void
+conn_drop_sent(struct http_conn *c)
+{
+	struct http_exchange *ex;
+
+	while ((ex = TAILQ_FIRST(&c->sending)) != NULL &&
+	       ex->sent_until <= stream_bytes_sent(c->stream))
+		exchange_free(ex, &c->sending);
+}
+
 /* Send the responses that are due, in the order of their requests. */
 static void
 conn_send_responses(struct http_conn *c)
@@ -164,13 +208,13 @@
 
 	while (
 	    (ex = TAILQ_FIRST(&c->exchanges)) != NULL && ex->response != NULL) {
-		evbuffer_add_buffer(stream_output(c->stream), ex->response);
+		add_to_output(c, ex);
 		sent = true;
 		if (ex->closes_conn) {
 			conn_begin_close(c);
 			stream_shutdown(c->stream);
 		}
-		exchange_free(ex);
+		move_to_sending(c, ex);
 	}
 	if (!sent)
 		return;
@@ -364,6 +408,7 @@
 	struct http_conn *c = owner;
 
 	conn_moved(c, len, daemon_now().mono_us);
+	conn_drop_sent(c);
 	conn_resume_reading(c);
 	conn_charge(c);
 }
@@ -438,7 +483,8 @@
 		stream_append_buffer(ex->response, resp->owned_body);
 	else if (body_len > 0 && !no_body)
 		evbuffer_add(ex->response, resp->body, body_len);
-	exchange_set_held(ex, sizeof(*ex) + evbuffer_get_length(ex->response));
+	exchange_set_held(ex, sizeof(*ex) + RESPONSE_OVERHEAD_BYTES +
+				  evbuffer_get_length(ex->response));
 	http_message_release(&ex->request);
 	conn_send_responses(c);
 	conn_resume_reading(c);
@@ -472,6 +518,7 @@
 
 	c->server = s;
 	TAILQ_INIT(&c->exchanges);
+	TAILQ_INIT(&c->sending);
 	http_reader_init(&c->reader, HTTP_READ_REQUEST, &set->limits);
 	c->last_active_us = now_us;
 	holder_init(
