body: give back what a body has grown to beyond its length

A body of up to 64 KB that comes in several reads grows by doubling, and kept up to twice its length once it was complete, charged with its length only.

--- a/daemon/body.c
+++ b/daemon/body.c
@@ -118,6 +118,10 @@
 			abort();
 		memcpy(whole, b->start, at);
 		free(b->start);
+	} else if (b->start_cap > at + 1) {
+		/* What it has grown to beyond its length is charged to nobody. */
+		resize_start(b, at + 1);
+		whole = b->start;
 	}
 	while (b->nblocks > 0) {
 		k = STAILQ_FIRST(&b->blocks);
