link: refuse requests while much waits to be sent

A request now is refused as not run while 4 MB wait, the way a peer refuses one, so that the core tries another target or answers 503.

--- a/daemon/link.c
+++ b/daemon/link.c
@@ -36,6 +36,11 @@
 #define SWEEP_INTERVAL_US (125 * MSEC_US) /* between checks of timeouts */
 /* Output that the peer does not read, above which its link is closed. */
 #define MAX_OUTPUT_BYTES (16u << 20)
+/*
+ * Output above which no more requests are sent: they would wait here, each as
+ * a copy, and can still be refused as not run.
+ */
+#define MAX_REQUEST_OUTPUT_BYTES (4u << 20)
 /*
  * Output below which another piece of a long body is sent.  Other messages wait
  * behind at most this much.
@@ -311,6 +316,19 @@
 
 static void send_frame(struct link *, struct msg *);
 
+/* Tell the core that a request was not sent, as if the peer had refused it. */
+static void
+refuse_request(struct link *l, const struct msg *request)
+{
+	struct msg *reply = msg_create(MSG_REPLY);
+
+	reply->peer = l->peer;
+	reply->seq = request->seq;
+	reply_fail(&reply->u.reply, failure_make(VERDICT_NOT_RUN, REASON_SHED));
+	reply->u.reply.allowance = request->u.forward.context.allowance;
+	task_send(l->task->daemon->decide, reply);
+}
+
 /*
  * Handle a message that is too long for a peer that takes no pieces: a request
  * has not run, and of a response only the failure is sent.
@@ -318,18 +336,10 @@
 static void
 refuse_long_message(struct link *l, struct msg *m, size_t bytes)
 {
-	struct msg *reply;
-
 	log_line(LOG_ERR, "frame-too-long", "kind=%s bytes=%zu",
 	    msg_kind_name(m->kind), bytes);
 	if (m->kind == MSG_FORWARD) {
-		reply = msg_create(MSG_REPLY);
-		reply->peer = l->peer;
-		reply->seq = m->seq;
-		reply_fail(&reply->u.reply,
-		    failure_make(VERDICT_NOT_RUN, REASON_SHED));
-		reply->u.reply.allowance = m->u.forward.context.allowance;
-		task_send(l->task->daemon->decide, reply);
+		refuse_request(l, m);
 	} else if (m->kind == MSG_REPLY) {
 		reply_release(&m->u.reply);
 		reply_fail(
@@ -361,6 +371,12 @@
 static void
 send_message(struct link *l, struct msg *m)
 {
+	if (m->kind == MSG_FORWARD &&
+	    stream_bytes_pending(l->stream) > MAX_REQUEST_OUTPUT_BYTES) {
+		refuse_request(l, m);
+		msg_destroy(m);
+		return;
+	}
 	note_message(l, m);
 	if (l->peer_piece_bytes >= PIECE_BYTES && pieces_are_worthwhile(m))
 		pieces_send(l->pieces, m, l->last_msg_us);
