stream: keep unread answers out of the system's buffers

A caller's socket now takes at most 64 KB that are not on their way (TCP_NOTSENT_LOWAT); the rest waits in the stream and is charged.

--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -17,6 +17,11 @@
 #define READ_BUFFER_BYTES 65536 /* read with one system call */
 /* A connection with sent data unacknowledged for this long is broken. */
 #define UNACKED_TIMEOUT_MS 2000
+/*
+ * Output that the system takes of a stream whose peer pauses.  The rest waits
+ * in the stream, where the owner sees it; what is on its way does not count.
+ */
+#define MAX_UNSENT_BYTES 65536
 #define LISTEN_BACKLOG 1024
 #define ACCEPT_RETRY_US (100 * MSEC_US) /* after a failure to accept */
 /* A smaller buffer is copied to the output, which is cheaper. */
@@ -333,7 +338,11 @@
 void
 stream_allow_pauses(struct stream *st)
 {
+	int unsent = MAX_UNSENT_BYTES;
+
 	set_unacked_timeout(st->fd, 0); /* the system's default */
+	setsockopt(
+	    st->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent, sizeof(unsent));
 }
 
 void
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -82,7 +82,8 @@
 /*
  * Let the peer leave bytes unread for as long as the owner allows.  Without
  * this a connection whose bytes are not acknowledged for 2 s is broken, also
- * if the peer is there and its window is full.
+ * if the peer is there and its window is full.  The system then takes little
+ * more of the output than the peer has room for.
  */
 void stream_allow_pauses(struct stream *);
 /*
