http_server: read a bounded number of chunks in one turn

With 300 callers that send bodies in chunks of one byte an ordinary call took 0.5 to 0.8 s on a whole core (trial), more than the 0.9 s after which links to a busy peer count as lost on a host with less.

Cause: one turn of the event loop reads 64 KB of each connection, which is 10,000 such chunks and takes over a millisecond; everybody else waits for all of them. A connection now has 512 chunks read, keeps the rest and goes on in the next turn; bodies with a length and larger chunks are read as before.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -223,6 +223,13 @@
 	return p->flags & F_CONTENTLENGTH ? check_announced(p) : 0;
 }
 
+static int
+on_chunk_header(struct http_parser *p)
+{
+	reader_of(p)->nchunks++;
+	return check_announced(p);
+}
+
 static int
 on_body(struct http_parser *p, const char *at, size_t len)
 {
@@ -255,7 +262,7 @@
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_headers_complete,
-    .on_chunk_header = check_announced,
+    .on_chunk_header = on_chunk_header,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
@@ -367,6 +374,13 @@
 	return used;
 }
 
+bool
+http_reader_is_chunked(const struct http_reader *r)
+{
+	return r->state == HTTP_READER_BODY &&
+	       (r->parser.flags & F_CHUNKED) != 0;
+}
+
 void
 http_reader_eof(struct http_reader *r)
 {
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -71,6 +71,7 @@
 	struct http_limits limits;
 	enum http_reader_state state;
 	size_t head_bytes; /* bytes received of start line and headers */
+	unsigned int nchunks; /* begun; the owner may reset it */
 	bool started; /* a byte of the message was received */
 	bool in_value; /* the parser is within a header's value */
 	bool no_body; /* the response to a HEAD request; set by the owner */
@@ -93,6 +94,8 @@
  * those after them belong to the next message.  Errors show in the state.
  */
 size_t http_reader_feed(struct http_reader *, const char *, size_t);
+/* Whether the message being read has a body in chunks, as far as is known. */
+bool http_reader_is_chunked(const struct http_reader *);
 /*
  * The peer closed in order: completes a message whose body extends to the end
  * of the connection.
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -17,6 +17,12 @@
 #define CLOSE_LINGER_US (1 * SEC_US)
 /* Buffer for the status line and the headers that the server itself adds. */
 #define RESPONSE_HEAD_BYTES 256
+/*
+ * Chunks of one connection that are read in one turn of the loop, in steps of
+ * so many bytes.  Those of others wait meanwhile; tiny ones take long to read.
+ */
+#define MAX_CHUNKS_PER_TURN 512
+#define CHUNKS_STEP_BYTES 1024
 /* Output that the peer has not read, above which its requests are not read. */
 #define MAX_OUTPUT_BYTES (256u << 10)
 /*
@@ -62,6 +68,8 @@
 	uint64_t bytes_acked; /* when the connection was last found idle */
 	uint64_t request_start_us; /* first byte of the request being read */
 	bool paused; /* not read until requests are answered */
+	struct event *next_turn; /* resumes reading; NULL: never was needed */
+	bool awaits_turn; /* paused until then */
 	bool ending; /* closes after its responses; reads no more requests */
 	uint64_t ending_since_us;
 };
@@ -145,6 +153,8 @@
 	c->server->nconns--;
 	holder_release(&c->memory);
 	holder_release(&c->descriptor);
+	if (c->next_turn != NULL)
+		event_free(c->next_turn);
 	http_reader_release(&c->reader);
 	buffer_release(&c->unparsed);
 	stream_destroy(c->stream);
@@ -360,21 +370,52 @@
 	stream_pause(c->stream, true);
 }
 
+static void on_next_turn(evutil_socket_t, short, void *);
+
+/* Keep bytes until the other connections have been read. */
+static void
+await_next_turn(struct http_conn *c, const char *data, size_t len)
+{
+	static const struct timeval at_once = {0, 0};
+
+	if (c->next_turn == NULL)
+		c->next_turn = evtimer_new(c->server->base, on_next_turn, c);
+	event_add(c->next_turn, &at_once);
+	c->awaits_turn = true;
+	pause_reading(c, data, len);
+}
+
+/* How many bytes to parse before the chunks are counted again. */
+static size_t
+parse_step(const struct http_conn *c, size_t len)
+{
+	bool may_have_chunks = c->reader.state == HTTP_READER_HEAD ||
+			       http_reader_is_chunked(&c->reader);
+
+	return may_have_chunks && len > CHUNKS_STEP_BYTES ? CHUNKS_STEP_BYTES
+							  : len;
+}
+
 static void
 conn_parse(struct http_conn *c, const char *data, size_t len)
 {
 	size_t used;
 
+	c->reader.nchunks = 0;
 	while (len > 0 && !c->ending) {
 		if (must_pause(c)) {
 			pause_reading(c, data, len);
 			return;
 		}
+		if (c->reader.nchunks > MAX_CHUNKS_PER_TURN) {
+			await_next_turn(c, data, len);
+			return;
+		}
 		if (!c->reader.started) {
 			c->request_start_us = c->last_active_us;
 			c->reader.limits = c->server->settings.limits;
 		}
-		used = http_reader_feed(&c->reader, data, len);
+		used = http_reader_feed(&c->reader, data, parse_step(c, len));
 		data += used;
 		len -= used;
 		if (c->reader.state == HTTP_READER_COMPLETE)
@@ -432,7 +473,8 @@
 {
 	struct buffer unparsed = c->unparsed;
 
-	if (!c->paused || c->nexchanges >= MAX_PIPELINED_REQUESTS / 2 ||
+	if (!c->paused || c->awaits_turn ||
+	    c->nexchanges >= MAX_PIPELINED_REQUESTS / 2 ||
 	    stream_bytes_pending(c->stream) > MAX_OUTPUT_BYTES)
 		return;
 	c->paused = false;
@@ -442,6 +484,18 @@
 	buffer_release(&unparsed);
 }
 
+static void
+on_next_turn(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_conn *c = arg;
+
+	(void)fd;
+	(void)what;
+	c->awaits_turn = false;
+	conn_resume_reading(c);
+	conn_charge(c);
+}
+
 /* Whether a response ends with its head (RFC 9112, 6.3). */
 static bool
 has_no_body(const struct http_exchange *ex, int status)
