http_message: take as many header lines as the head's limit allows

Cause: the lines were kept in an array of 100. The array now grows, is charged to the connection, and is not kept after the response, which takes 800 bytes off each connection. Names listed by Connection headers are looked up in a set, as both may be thousands.

--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -13,12 +14,62 @@
 	evbuffer_add(out, "\r\n", 2);
 }
 
+/* Add the elements of a comma-separated list, in lower case, to a set. */
+static void
+add_elements(GHashTable *set, const char *list)
+{
+	size_t n;
+
+	while (*list != '\0') {
+		list += strspn(list, ", \t");
+		n = strcspn(list, ", \t");
+		if (n > 0)
+			g_hash_table_add(set, g_ascii_strdown(list, (gssize)n));
+		list += n;
+	}
+}
+
+/*
+ * The names of the headers that concern the connection only, by Connection
+ * headers; NULL: none.  A set, since both may be as many as fit into a head.
+ */
+static GHashTable *
+connection_options_create(const struct http_message *m)
+{
+	GHashTable *set = NULL;
+	int i;
+
+	if (http_message_field(m, "Connection") == NULL)
+		return NULL;
+	set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < m->nfields; i++) {
+		if (strcasecmp(http_message_field_name(m, i), "Connection") ==
+		    0)
+			add_elements(set, http_message_field_value(m, i));
+	}
+	return set;
+}
+
+static bool
+is_connection_option(GHashTable *options, const char *name)
+{
+	char *lower;
+	bool found;
+
+	if (options == NULL)
+		return false;
+	lower = g_ascii_strdown(name, -1);
+	found = g_hash_table_contains(options, lower);
+	g_free(lower);
+	return found;
+}
+
 void
 dialect_copy_headers(const struct http_message *m,
     bool (*is_forwarded)(const char *name, const char *value),
     struct buffer *out)
 {
-	bool has_options = http_message_field(m, "Connection") != NULL;
+	GHashTable *options = connection_options_create(m);
 	const char *name, *value;
 	size_t len = 0;
 	char *at;
@@ -33,7 +84,7 @@
 		name = http_message_field_name(m, i);
 		value = http_message_field_value(m, i);
 		if (!is_forwarded(name, value) ||
-		    (has_options && http_message_lists(m, "Connection", name)))
+		    is_connection_option(options, name))
 			continue;
 		at = stpcpy(at, name);
 		at = stpcpy(at, ": ");
@@ -41,6 +92,8 @@
 		at = stpcpy(at, "\r\n");
 	}
 	out->len = (size_t)(at - out->data);
+	if (options != NULL)
+		g_hash_table_destroy(options);
 }
 
 bool
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -6,6 +6,7 @@
 #include "daemon/http_message.h"
 
 #define INITIAL_TEXT_BYTES 1024 /* first allocation for a message's text */
+#define INITIAL_FIELDS 16 /* the same for its header lines */
 /* No request asks for another protocol. */
 #define STATUS_SWITCHING_PROTOCOLS 101
 /* Tells the library at the end of the head that there is no body. */
@@ -41,6 +42,23 @@
 	text_add(m, "", 1);
 }
 
+/* Add a header line, whose name comes next. */
+static void
+field_add(struct http_message *m)
+{
+	if (m->nfields == m->fields_cap) {
+		m->fields_cap =
+		    m->fields_cap > 0 ? 2 * m->fields_cap : INITIAL_FIELDS;
+		m->fields = reallocarray(
+		    m->fields, (size_t)m->fields_cap, sizeof(m->fields[0]));
+		if (m->fields == NULL)
+			abort();
+	}
+	m->fields[m->nfields].name_offset = (uint32_t)m->text_len;
+	m->fields[m->nfields].value_offset = 0;
+	m->nfields++;
+}
+
 static struct http_reader *
 reader_of(struct http_parser *p)
 {
@@ -85,16 +103,12 @@
 	if (r->state != HTTP_READER_HEAD)
 		return 0;
 	if (r->in_value || m->nfields == 0) {
-		if (m->nfields == HTTP_MAX_FIELDS)
-			return -1;
 		/* An empty value has added no byte; it still needs its NUL. */
 		if (r->in_value)
 			terminate_value(r);
 		else
 			terminate_last_text(r);
-		m->fields[m->nfields].name_offset = (uint32_t)m->text_len;
-		m->fields[m->nfields].value_offset = 0;
-		m->nfields++;
+		field_add(m);
 		r->in_value = false;
 	}
 	text_add(m, at, len);
@@ -419,7 +433,8 @@
 size_t
 http_message_memory(const struct http_message *m)
 {
-	return m->text_cap + m->body_len;
+	return m->text_cap + (size_t)m->fields_cap * sizeof(m->fields[0]) +
+	       m->body_len;
 }
 
 const char *
@@ -495,6 +510,7 @@
 http_message_release(struct http_message *m)
 {
 	free(m->text);
+	free(m->fields);
 	free(m->body);
 	memset(m, 0, sizeof(*m));
 }
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -23,8 +23,6 @@
 #include "daemon/body.h"
 #include "wire/http_syntax.h"
 
-#define HTTP_MAX_FIELDS 100 /* header lines in one message */
-
 /* Limits on the size of one message. */
 struct http_limits {
 	size_t header_bytes; /* start line and headers */
@@ -44,8 +42,8 @@
 	char *text; /* URL, header names and values, each with a NUL */
 	size_t text_len, text_cap; /* bytes used and allocated */
 	uint32_t url_offset; /* of a request's URL in text */
-	int nfields;
-	struct http_field fields[HTTP_MAX_FIELDS];
+	int nfields, fields_cap; /* header lines, and room for them */
+	struct http_field *fields;
 	char *body; /* NULL if empty; a NUL follows the last byte */
 	size_t body_len;
 	bool keep_alive; /* the connection may be reused afterwards */
