--- a/daemon/body.c
+++ b/daemon/body.c
@@ -119,7 +119,7 @@
 		memcpy(whole, b->start, at);
 		free(b->start);
 	} else if (b->start_cap > at + 1) {
-		/* What it has grown to beyond its length is charged to nobody. */
+		/* Nobody is charged for what is beyond its length. */
 		resize_start(b, at + 1);
 		whole = b->start;
 	}
