http_server: keep no exchange for a response that is being sent

Callers saw nothing wrong.

Cause: since each response that is being sent keeps its exchange until the last of its bytes was sent, to give back what was charged for it. For short responses, that many callers do not read, the exchanges took more than the responses: 256 KB of output of one connection were charged with 780 to 830 KB, in thousands of small allocations.

Change: the exchange is freed once its response is in the output. What was charged moves to parts of the output of up to 16 KB, so that few remain to be kept.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -35,6 +35,8 @@
 #define RESPONSE_OVERHEAD_BYTES 1280
 /* Shorter responses are copied to the output, where they take less. */
 #define MIN_MOVED_RESPONSE_BYTES 4096
+/* Output that is charged and given back as one. */
+#define OUTPUT_PART_BYTES 16384
 
 struct http_exchange {
 	TAILQ_ENTRY(http_exchange) entry;
@@ -42,7 +44,6 @@
 	struct http_message request;
 	/* Set once answered; sent after the responses to earlier requests. */
 	struct evbuffer *response;
-	uint64_t sent_until; /* stream_bytes_sent() once all of it was sent */
 	size_t held; /* bytes charged for the request or the response */
 	void *user_data; /* of the server's owner */
 	bool closes_conn; /* the connection closes after this response */
@@ -51,6 +52,15 @@
 
 TAILQ_HEAD(exchange_list, http_exchange);
 
+/* Responses that are charged until the last byte of them was sent. */
+struct output_part {
+	TAILQ_ENTRY(output_part) entry;
+	uint64_t until; /* stream_bytes_sent() once all of it was sent */
+	size_t held;
+};
+
+TAILQ_HEAD(output_list, output_part);
+
 struct http_conn {
 	LIST_ENTRY(http_conn) entry;
 	struct http_server *server;
@@ -58,8 +68,8 @@
 	struct http_reader reader;
 	struct exchange_list exchanges; /* not answered, or not their turn */
 	unsigned int nexchanges;
-	struct exchange_list sending; /* their responses are being sent */
-	size_t exchanges_held; /* sum of both */
+	struct output_list output;
+	size_t kept; /* charged for the exchanges and the output */
 	struct holder memory;
 	struct holder descriptor;
 	struct buffer unparsed; /* received, but not parsed while paused */
@@ -91,7 +101,7 @@
 static void
 exchange_set_held(struct http_exchange *ex, size_t held)
 {
-	ex->conn->exchanges_held += held - ex->held;
+	ex->conn->kept += held - ex->held;
 	ex->held = held;
 }
 
@@ -100,11 +110,11 @@
 conn_charge(struct http_conn *c)
 {
 	bool waiting = !TAILQ_EMPTY(&c->exchanges) && !c->reader.started &&
-		       TAILQ_EMPTY(&c->sending);
+		       TAILQ_EMPTY(&c->output);
 
 	holder_set(&c->memory, sizeof(*c) + CONNECTION_OVERHEAD_BYTES +
 				   http_reader_memory(&c->reader) +
-				   c->unparsed.len + c->exchanges_held);
+				   c->unparsed.len + c->kept);
 	holder_set_waiting(&c->memory, waiting, c->last_active_us);
 	holder_set_waiting(&c->descriptor, waiting, c->last_active_us);
 }
@@ -124,31 +134,40 @@
 	holder_finished(&c->descriptor, c->last_active_us);
 }
 
-/* Take an exchange off the list that it is in and free it. */
 static void
-exchange_free(struct http_exchange *ex, struct exchange_list *list)
+exchange_free(struct http_exchange *ex)
 {
 	exchange_set_held(ex, 0);
-	TAILQ_REMOVE(list, ex, entry);
+	TAILQ_REMOVE(&ex->conn->exchanges, ex, entry);
+	ex->conn->nexchanges--;
 	if (ex->response != NULL)
 		evbuffer_free(ex->response);
 	http_message_release(&ex->request);
 	free(ex);
 }
 
+static void
+output_part_free(struct http_conn *c, struct output_part *part)
+{
+	c->kept -= part->held;
+	TAILQ_REMOVE(&c->output, part, entry);
+	free(part);
+}
+
 static void
 conn_free(struct http_conn *c, bool notify_owner)
 {
 	struct http_exchange *ex;
+	struct output_part *part;
 
 	while ((ex = TAILQ_FIRST(&c->exchanges)) != NULL) {
 		if (notify_owner && ex->delivered && ex->response == NULL &&
 		    c->server->ops->disconnected != NULL)
 			c->server->ops->disconnected(c->server->owner, ex);
-		exchange_free(ex, &c->exchanges);
+		exchange_free(ex);
 	}
-	while ((ex = TAILQ_FIRST(&c->sending)) != NULL)
-		exchange_free(ex, &c->sending);
+	while ((part = TAILQ_FIRST(&c->output)) != NULL)
+		output_part_free(c, part);
 	LIST_REMOVE(c, entry);
 	c->server->nconns--;
 	holder_release(&c->memory);
@@ -171,6 +190,24 @@
 	c->ending_since_us = daemon_now().mono_us;
 }
 
+/* Charge what was added to the output until it was sent. */
+static void
+charge_output(struct http_conn *c, size_t held)
+{
+	struct output_part *part = TAILQ_LAST(&c->output, output_list);
+
+	if (part == NULL || part->held + held > OUTPUT_PART_BYTES) {
+		part = xcalloc(1, sizeof(*part));
+		TAILQ_INSERT_TAIL(&c->output, part, entry);
+		held += sizeof(*part);
+	}
+	part->until =
+	    stream_bytes_sent(c->stream) + stream_bytes_pending(c->stream);
+	part->held += held;
+	c->kept += held;
+}
+
+/* Add a response to the output and free its exchange. */
 static void
 add_to_output(struct http_conn *c, struct http_exchange *ex)
 {
@@ -179,34 +216,23 @@
 	if (len < MIN_MOVED_RESPONSE_BYTES) {
 		evbuffer_add(stream_output(c->stream),
 		    evbuffer_pullup(ex->response, -1), len);
-		exchange_set_held(ex, sizeof(*ex) + len);
+		charge_output(c, len);
 	} else {
 		evbuffer_add_buffer(stream_output(c->stream), ex->response);
+		charge_output(c, RESPONSE_OVERHEAD_BYTES + len);
 	}
-	evbuffer_free(ex->response);
-	ex->response = NULL;
-}
-
-/* The bytes of a response are kept until the last of them was sent. */
-static void
-move_to_sending(struct http_conn *c, struct http_exchange *ex)
-{
-	TAILQ_REMOVE(&c->exchanges, ex, entry);
-	c->nexchanges--;
-	ex->sent_until =
-	    stream_bytes_sent(c->stream) + stream_bytes_pending(c->stream);
-	TAILQ_INSERT_TAIL(&c->sending, ex, entry);
+	exchange_free(ex);
 }
 
-/* Free the exchanges whose responses were sent. */
+/* Give back what was charged for responses that were sent. */
 static void
 conn_drop_sent(struct http_conn *c)
 {
-	struct http_exchange *ex;
+	struct output_part *part;
 
-	while ((ex = TAILQ_FIRST(&c->sending)) != NULL &&
-	       ex->sent_until <= stream_bytes_sent(c->stream))
-		exchange_free(ex, &c->sending);
+	while ((part = TAILQ_FIRST(&c->output)) != NULL &&
+	       part->until <= stream_bytes_sent(c->stream))
+		output_part_free(c, part);
 }
 
 /* Send the responses that are due, in the order of their requests. */
@@ -214,17 +240,17 @@
 conn_send_responses(struct http_conn *c)
 {
 	struct http_exchange *ex;
-	bool sent = false;
+	bool closes, sent = false;
 
 	while (
 	    (ex = TAILQ_FIRST(&c->exchanges)) != NULL && ex->response != NULL) {
+		closes = ex->closes_conn;
 		add_to_output(c, ex);
 		sent = true;
-		if (ex->closes_conn) {
+		if (closes) {
 			conn_begin_close(c);
 			stream_shutdown(c->stream);
 		}
-		move_to_sending(c, ex);
 	}
 	if (!sent)
 		return;
@@ -572,7 +598,7 @@
 
 	c->server = s;
 	TAILQ_INIT(&c->exchanges);
-	TAILQ_INIT(&c->sending);
+	TAILQ_INIT(&c->output);
 	http_reader_init(&c->reader, HTTP_READ_REQUEST, &set->limits);
 	c->last_active_us = now_us;
 	holder_init(
--- a/t/test-http.cc
+++ b/t/test-http.cc
@@ -692,6 +692,48 @@
 	EXPECT_LE(account_state(memory)->held, held);
 }
 
+/* Short responses that are not read take little more than their bytes. */
+TEST_F(FullServer, ShortResponsesAreChargedUntilTheyWereSent)
+{
+	const size_t count = 20000, body_len = 40;
+	const size_t max_output = 256 << 10, slack = 128 << 10;
+	int fd = connect_to_server(), quiet_turns = 0;
+	size_t sent = 0, answered = 0, got = 0, idle_held;
+	std::string requests;
+
+	account_set_limit(memory, 64 << 20, 0);
+	run_ms(20);
+	idle_held = account_state(memory)->held;
+	for (size_t i = 0; i < count; i++)
+		requests += GET;
+	auto send_and_respond = [&] {
+		size_t before = answered;
+		ssize_t n = send(
+		    fd, &requests[sent], requests.size() - sent, MSG_DONTWAIT);
+
+		if (n > 0)
+			sent += (size_t)n;
+		run_ms(2);
+		while (answered < exchanges.size())
+			respond(answered++, std::string(body_len, 'x'));
+		return answered != before;
+	};
+	while (quiet_turns < 50)
+		quiet_turns = send_and_respond() ? 0 : quiet_turns + 1;
+	EXPECT_LT(answered, count);
+	EXPECT_GE(account_state(memory)->held, max_output);
+	EXPECT_LE(account_state(memory)->held, max_output + slack);
+	EXPECT_TRUE(run_until([&] {
+		send_and_respond();
+		got += drain(fd);
+		return answered == count && got >= count * body_len;
+	}));
+	EXPECT_TRUE(run_until([&] {
+		drain(fd);
+		return account_state(memory)->held <= idle_held + 1024;
+	}));
+}
+
 /* Guards against callers that wait while the tiny chunks of others are read. */
 TEST_F(FullServer, ACallerIsNotHeldUpByTinyChunks)
 {
