http_server: charge a request with what the call takes

Callers saw nothing wrong. Under the sanitizers t0012 still took up to 95,064 kB of 93,750, t0013 94,550 kB.

Cause: beside its own bytes a request was charged with 4,096, less than the core and the tasks keep for it. In a heap profile of t0012 the call takes 3,128 bytes, the message that brings it to the core 1,520, and that for a try 1,728.

Change: it is charged with 6,144.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -30,7 +30,7 @@
  * events, and for each request what the core keeps of the call.
  */
 #define CONNECTION_OVERHEAD_BYTES 2048
-#define REQUEST_OVERHEAD_BYTES 4096
+#define REQUEST_OVERHEAD_BYTES 6144
 /* The least that a response takes in a buffer of its own. */
 #define RESPONSE_OVERHEAD_BYTES 1280
 /* Shorter responses are copied to the output, where they take less. */
