--- a/review/standins-2/case10.c
+++ b/review/standins-2/case10.c
@@ -12,7 +12,7 @@
 int
 main(int argc, char **argv)
 {
-	const struct manifest m = {3, 5, "\"key-1\"", 0, 0};
+	const struct manifest m = {NULL, 3, 5, "\"key-1\"", 0, 0};
 	struct host *hosts[2], *leaving;
 	double acknowledged_s, touch_s;
 	uint64_t late_seq, before, runs;
--- a/review/standins-2/case6.c
+++ b/review/standins-2/case6.c
@@ -18,7 +18,7 @@
 int
 main(int argc, char **argv)
 {
-	const struct manifest m = {3, 5, "\"key-1\"", 0, 0};
+	const struct manifest m = {NULL, 3, 5, "\"key-1\"", 0, 0};
 	struct host *hosts[2];
 	struct request *r;
 	unsigned int twice = 0, ran = 0;
--- a/review/standins-2/case8.c
+++ b/review/standins-2/case8.c
@@ -19,7 +19,7 @@
 put_config(int version, double timeout_s)
 {
 	const struct manifest m = {
-	    version, timeout_s, "\"key-1\"", RATE_PER_S, BURST};
+	    NULL, version, timeout_s, "\"key-1\"", RATE_PER_S, BURST};
 
 	store_put_config(&m);
 }
--- a/review/standins-2/case9.c
+++ b/review/standins-2/case9.c
@@ -18,7 +18,7 @@
 {
 	const double limit =
 	    (RATE_PER_S * WINDOW_S + BURST) * (1 + OVER) + SLACK;
-	const struct manifest m = {3, 5, "\"key-1\"", RATE_PER_S, BURST};
+	const struct manifest m = {NULL, 3, 5, "\"key-1\"", RATE_PER_S, BURST};
 	struct host *hosts[2];
 	unsigned int most;
 
--- a/review/standins-2/lab.c
+++ b/review/standins-2/lab.c
@@ -586,18 +586,23 @@
 	    "{\"entry_type\":\"routes\",\"metadata\":{\"name\":\"r-1\"},"
 	    "\"spec\":{\"authority\":\"" AUTHORITY "\",\"path_prefix\":"
 	    "\"/place/\",\"route_type\":\"unsafe\",\"timeout_s\":%g,"
-	    "\"target_latency_s\":1.5,\"priority\":0,\"upstream\":\"orders\","
+	    "\"target_latency_s\":1.5,\"priority\":0,\"upstream\":\"%s\","
 	    "\"max_attempts\":2,\"public\":false}},"
 	    "{\"entry_type\":\"upstreams\",\"metadata\":{\"name\":\"orders\"},"
 	    "\"spec\":{\"health_path\":\"/healthz\",\"max_conns\":1684,"
 	    "\"protocol\":\"h1\",\"tls\":false}},"
+	    "{\"entry_type\":\"upstreams\",\"metadata\":"
+	    "{\"name\":\"orders-2\"},\"spec\":{\"health_path\":\"/healthz\","
+	    "\"max_conns\":1684,\"protocol\":\"h1\",\"tls\":false}},"
 	    "{\"entry_type\":\"tenants\",\"metadata\":{\"name\":\"firm\"},"
 	    "\"spec\":{\"api_keys\":[%s],\"priority\":1,\"rate_per_s\":%d,"
 	    "\"burst\":%d}},"
 	    "{\"entry_type\":\"limits\",\"metadata\":{},\"spec\":"
 	    "{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
 	    "\"header_timeout_s\":3,\"idle_timeout_s\":15}}]}",
-	    m->version, m->timeout_s, m->keys, m->rate_per_s, m->burst);
+	    m->version, m->timeout_s,
+	    m->service != NULL ? m->service : "orders", m->keys, m->rate_per_s,
+	    m->burst);
 	store_start();
 	free(store.config);
 	store.config = strdup(text);
@@ -738,6 +743,7 @@
 	if (r != NULL) {
 		r->runs++;
 		r->run_s = lab_now_s();
+		r->run_at = h;
 	}
 	run = calloc(1, sizeof(*run));
 	run->host = h;
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -66,7 +66,8 @@
 	double answered_s; /* 0: not yet */
 	int status; /* 0: none, -1: the connection ended */
 	unsigned int runs;
-	double run_s; /* when it ran last */
+	double run_s; /* when it ran last, and where */
+	struct host *run_at;
 };
 
 TAILQ_HEAD(request_list, request);
@@ -91,10 +92,11 @@
 void lab_fail(const char *what) __attribute__((noreturn));
 
 /*
- * What the operator writes: a manifest with one unsafe route, of the service
- * "orders", and one tenant.
+ * What the operator writes: a manifest with one unsafe route, the services
+ * "orders" and "orders-2", and one tenant.
  */
 struct manifest {
+	const char *service; /* of the route; NULL: "orders" */
 	int version;
 	double timeout_s;
 	const char *keys; /* of the tenant: "\"key-1\",\"key-2\"" */
