--- a/review/standins-2/case9.c
+++ b/review/standins-2/case9.c
@@ -10,7 +10,7 @@
 #define WINDOW_S 5
 #define OVER 0.1
 #define SLACK 20
-#define CUT_MS 5500
+#define CUT_MS 5000
 #define PER_S 600 /* to both daemons together */
 
 int
