core: let the end of a later start of the target count

Calls reached a server whose end was acknowledged: a start of the target that had not announced itself yet (a heartbeat may be seconds late) ended, and its late heartbeat then let it join. While another start was present, its end was acknowledged and forgotten. The end of a start that is known to be later than the present one now ends both, as it has replaced it; the end of an earlier one still changes nothing.

test-announce TheEndOfALaterStartCounts failed before (2 checks).

--- a/core/local_target.c
+++ b/core/local_target.c
@@ -94,6 +94,13 @@
 	       (a->started_ms != 0 && a->started_ms > t->started_ms);
 }
 
+/* A start that is known to be later than the present one has replaced it. */
+static bool
+is_later_start(const struct local_target *t, const struct announce *a)
+{
+	return t->started_ms != 0 && a->started_ms > t->started_ms;
+}
+
 static void
 record_announcement(
     struct node *n, const struct announce *a, struct instant now)
@@ -142,8 +149,8 @@
 		return;
 	}
 	if (a->leaving) {
-		/* The end of another start does not concern this one. */
-		if (t->present && is_new_start(t, a))
+		/* The end of an earlier start does not concern this one. */
+		if (t->present && is_new_start(t, a) && !is_later_start(t, a))
 			return;
 		record_announcement(n, a, now);
 		/*
--- a/t/test-announce.cc
+++ b/t/test-announce.cc
@@ -267,3 +267,22 @@
 	EXPECT_EQ(o->known_seq, 6u);
 	EXPECT_EQ(o->count, 3u);
 }
+
+/*
+ * The first announcement of a later start is late: its end comes first, and it
+ * ends the earlier one as well, which it replaced.
+ */
+TEST(Announce, TheEndOfALaterStartCounts)
+{
+	Daemon d;
+
+	d.announce("a", 100, 1, false);
+	EXPECT_TRUE(d.runs_calls());
+	d.announce("b", 200, 0, true);
+	EXPECT_FALSE(d.runs_calls());
+	d.announce("b", 200, 1, false);
+	d.announce("a", 100, 2, false);
+	EXPECT_FALSE(d.runs_calls());
+	d.announce("c", 300, 1, false);
+	EXPECT_TRUE(d.runs_calls());
+}
