core: keep the end of a target's start over restarts

What callers saw: a server that had left got requests again.

Cause: that a start of the target has ended was a fact of one process (struct local_target). Ruled out: an entry daemon that ignores what it was told; the daemon beside the target itself said that it is alive.

Now the end is written to the platform, in a row for each daemon (core/ended_row.h), before it is acknowledged, at the latest after 500 ms (a target waits for 1 s). A new process reads that row before it lets a target join (core/target_past.c), and goes on as the one before it did. The announcement that arrives first is kept until the answer is there, so a target that returns is used at once. While the platform does not answer, a target has to announce itself for 1 s, and the platform is asked once more then. A member row that the killed process did not remove is removed. Cost: a read for each start of a daemon, a write for each end.

--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,10 @@
 LDFLAGS	+= $(SANFLAGS)
 
 CORE	= account attempt balance bucket catalog confstate confsync control \
-	  counters decision_log entry fate grant group hash histogram \
+	  counters decision_log ended_row entry fate grant group hash histogram \
 	  id_guard leave ledger limit local_target member_row membership msg \
 	  node operator owners own_row ownership pool position pressure \
-	  quota retry row_watch serve shed store_era tree types verdict \
+	  quota retry row_watch serve shed store_era target_past tree types verdict \
 	  window
 WIRE	= context frame_decode frame_encode http_syntax httpmap link.pb-c
 CONFIG	= catalog_ini ini settings
--- a/core/counters.c
+++ b/core/counters.c
@@ -34,6 +34,7 @@
     [COUNT_CONFIG_ROWS_LOWER] = "config_rows_lower_revision",
     [COUNT_CONTROL_MESSAGES] = "control_messages_sent",
     [COUNT_OLD_ANNOUNCEMENTS] = "old_announcements",
+    [COUNT_TARGET_ENDS_RESTORED] = "target_ends_restored",
     [COUNT_TARGETS_SILENT] = "targets_silent",
 };
 
@@ -49,6 +50,7 @@
     [ROW_TABLE_POOL] = "pool",
     [ROW_TABLE_MEMBER] = "member",
     [ROW_TABLE_OWNERS] = "owners",
+    [ROW_TABLE_ENDED] = "ended",
 };
 
 enum row_table
--- a/core/counters.h
+++ b/core/counters.h
@@ -51,6 +51,8 @@
 	COUNT_CONFIG_ROWS_LOWER, /* read, of a lower revision in a later row */
 	COUNT_CONTROL_MESSAGES, /* sent for membership, configuration, shares */
 	COUNT_OLD_ANNOUNCEMENTS, /* ignored because they arrived late */
+	/* Starts that ended before this process began, and were learnt of. */
+	COUNT_TARGET_ENDS_RESTORED,
 	COUNT_TARGETS_SILENT, /* times the target stopped announcing itself */
 	COUNT_COUNT,
 };
@@ -62,6 +64,7 @@
 	ROW_TABLE_POOL, /* the roots of the regions' pools */
 	ROW_TABLE_MEMBER, /* the members of the services */
 	ROW_TABLE_OWNERS, /* the owners of callers' ids */
+	ROW_TABLE_ENDED, /* starts of targets that have ended */
 	ROW_TABLE_COUNT,
 };
 
--- a/core/local_target.c
+++ b/core/local_target.c
@@ -8,8 +8,6 @@
 
 #include "core/node_impl.h"
 
-/* How far in the future a target's start may seem to be. */
-#define START_MAX_SKEW_MS (UINT64_C(24) * 3600 * 1000)
 /*
  * A start that seems earlier than the known one is the present one if it goes
  * on for this long and this often while the known one is silent: its host's
@@ -84,7 +82,7 @@
 static bool
 is_from_the_future(const struct announce *a, struct instant now)
 {
-	return a->started_ms > now.wall_ms + START_MAX_SKEW_MS;
+	return a->started_ms > now.wall_ms + ENDED_ROW_MAX_SKEW_MS;
 }
 
 static bool
@@ -94,13 +92,6 @@
 	       (a->started_ms != 0 && a->started_ms > t->started_ms);
 }
 
-/* A start that is known to be later than the present one has replaced it. */
-static bool
-is_later_start(const struct local_target *t, const struct announce *a)
-{
-	return t->started_ms != 0 && a->started_ms > t->started_ms;
-}
-
 static void
 record_announcement(
     struct node *n, const struct announce *a, struct instant now)
@@ -128,47 +119,80 @@
 
 	o->count++;
 	o->ignored = true;
+	o->held = false;
 	name_copy(o->known_id, n->target.id, sizeof(o->known_id));
 	o->known_started_ms = n->target.started_ms;
 	o->known_seq = n->target.announce_seq;
 }
 
+/* A start that is known to be later than the present one has replaced it. */
+static bool
+is_later_start(const struct local_target *t, const struct announce *a)
+{
+	return t->started_ms != 0 && a->started_ms > t->started_ms;
+}
+
 void
-local_target_handle_announce(
-    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+local_target_has_ended(struct node *n, struct instant now, struct msg_list *out)
+{
+	membership_leave(n, now, out);
+	target_past_record_end(n, now, out);
+}
+
+static void
+take_end(struct node *n, const struct announce *a, struct instant now,
+    struct msg_list *out)
 {
-	const struct announce *a = &msg->u.announce;
 	struct local_target *t = &n->target;
+
+	/* The end of an earlier start does not concern the present one. */
+	if (t->present && is_new_start(t, a) && !is_later_start(t, a))
+		return;
+	record_announcement(n, a, now);
+	/*
+	 * If no target has announced itself yet, a late announcement of
+	 * this start must not make it join.
+	 */
+	t->leaving = t->leaving || !t->present;
+	if (t->service[0] == '\0')
+		name_copy(t->service, a->service, sizeof(t->service));
+	if (a->daemon_outlives_target)
+		local_target_has_ended(n, now, out);
+	else
+		membership_drain(n, now, out);
+	t->announcements_stopped = false;
+}
+
+void
+local_target_take(struct node *n, const struct announce *a, struct instant now,
+    struct msg_list *out)
+{
+	struct local_target *t = &n->target;
+	bool is_earlier, joins;
 	struct group *g;
-	bool is_earlier;
 
-	begin_outcome(n);
 	is_earlier = is_outdated(t, a) && goes_on_announcing(t, a, now);
 	if (is_from_the_future(a, now) || (is_outdated(t, a) && !is_earlier)) {
 		n->counters.values[COUNT_OLD_ANNOUNCEMENTS]++;
 		return;
 	}
 	if (a->leaving) {
-		/* The end of an earlier start does not concern this one. */
-		if (t->present && is_new_start(t, a) && !is_later_start(t, a))
-			return;
-		record_announcement(n, a, now);
-		/*
-		 * If no target has announced itself yet, a late announcement of
-		 * this start must not make it join.
-		 */
-		t->leaving = t->leaving || !t->present;
-		if (a->daemon_outlives_target)
-			membership_leave(n, now, out);
-		else
-			membership_drain(n, now, out);
-		t->announcements_stopped = false;
+		take_end(n, a, now, out);
 		return;
 	}
 	if (n->draining)
 		return;
-	if (is_new_start(t, a) || is_earlier || t->announcements_stopped ||
-	    (!t->present && !t->leaving)) {
+	joins = is_new_start(t, a) || is_earlier || t->announcements_stopped ||
+		(!t->present && !t->leaving);
+	if (!joins && t->leaving) {
+		n->counters.values[COUNT_OLD_ANNOUNCEMENTS]++;
+		return;
+	}
+	if (joins && target_past_holds(n, a, now, out)) {
+		n->announce_outcome.held = true;
+		return;
+	}
+	if (joins) {
 		t->announce_seq = 0;
 		g = membership_find(n, t->service);
 		if (g != NULL && strcmp(t->service, a->service) != 0)
@@ -180,6 +204,15 @@
 	record_announcement(n, a, now);
 }
 
+void
+local_target_handle_announce(
+    struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
+{
+	begin_outcome(n);
+	local_target_take(n, &msg->u.announce, now, out);
+	target_past_acknowledge(n, msg->seq, out);
+}
+
 /* A target that stopped announcing itself has ended or is unreachable. */
 void
 local_target_tick(struct node *n, struct instant now, struct msg_list *out)
--- a/core/membership.c
+++ b/core/membership.c
@@ -189,6 +189,33 @@
 	    now);
 }
 
+void
+membership_remove_earlier_row(struct node *n, const char *service,
+    struct instant now, struct msg_list *out)
+{
+	struct group *g = membership_find_or_create(n, service);
+	struct member_record r;
+	char key[ROW_KEY_LEN];
+
+	g->last_used_us = now.mono_us;
+	memset(&r, 0, sizeof(r));
+	r.addr = n->setup.self;
+	name_copy(r.dc, n->setup.dc, sizeof(r.dc));
+	member_row_key(key, sizeof(key), service, &r);
+	node_read_row(n, key, false, out);
+}
+
+/*
+ * The row that an earlier process left; it is removed only as it was read, as
+ * a target may join meanwhile.
+ */
+static void
+handle_earlier_row(struct node *n, const struct row *row, struct msg_list *out)
+{
+	if (!n->target.present)
+		node_write_row(n, row->key, row->version, "", 0, out);
+}
+
 static bool
 all_rows_are_there(struct node *n)
 {
@@ -228,6 +255,7 @@
 
 	RB_FOREACH (g, group_tree, &n->groups)
 		own_row_lost(&g->own_row, &n->rng, now);
+	own_row_lost(&n->past.row, &n->rng, now);
 }
 
 /* Whether the local target is, or last was, a member of the group. */
@@ -485,8 +513,12 @@
 			confirm_own_row(n, g, true, now);
 		return;
 	}
-	if (!row->key_is_prefix || row->status != ROW_FOUND)
+	if (row->status != ROW_FOUND)
 		return;
+	if (!row->key_is_prefix) {
+		handle_earlier_row(n, row, out);
+		return;
+	}
 	rows = row->value.data;
 	while ((line = strsep(&rows, "\n")) != NULL) {
 		if (*line != '\0')
@@ -651,6 +683,7 @@
 	struct group *g, *next;
 
 	local_target_tick(n, now, out);
+	target_past_tick(n, now, out);
 	RB_FOREACH_SAFE (g, group_tree, &n->groups, next) {
 		probe_unreachable(n, g, now, out);
 		tick_own_row(n, g, now, out);
--- a/core/msg.c
+++ b/core/msg.c
@@ -26,6 +26,7 @@
     [MSG_RUN_DONE] = "run-done",
     [MSG_RUN_CANCEL] = "run-cancel",
     [MSG_ANNOUNCE] = "announce",
+    [MSG_ANNOUNCED] = "announced",
     [MSG_ROW_READ] = "row-read",
     [MSG_ROW_WRITE] = "row-write",
     [MSG_ROW] = "row",
--- a/core/msg.h
+++ b/core/msg.h
@@ -58,6 +58,8 @@
 	MSG_RUN_DONE, /* the outcome of that call */
 	MSG_RUN_CANCEL, /* abort that call */
 	MSG_ANNOUNCE, /* the local target is up, or leaves */
+	/* To the announce task: what its last MSG_ANNOUNCE says is written. */
+	MSG_ANNOUNCED, /* with the seq of that message */
 	/* Between the core and the platform task: */
 	MSG_ROW_READ, /* read one row, or all with a key prefix */
 	MSG_ROW_WRITE, /* write a row if it has the given version */
--- a/core/node.c
+++ b/core/node.c
@@ -166,6 +166,12 @@
 	return &n->announce_outcome;
 }
 
+const struct target_start *
+node_ended_start(const struct node *n)
+{
+	return &n->past.ended;
+}
+
 const char *
 node_last_odd_row(const struct node *n)
 {
@@ -214,6 +220,9 @@
 	case ROW_TABLE_POOL:
 		pool_handle_row(n, &msg->u.row, now, out);
 		break;
+	case ROW_TABLE_ENDED:
+		target_past_handle_row(n, msg, now, out);
+		break;
 	default:
 		membership_handle_row(n, msg, now, out);
 		break;
--- a/core/node.h
+++ b/core/node.h
@@ -29,6 +29,7 @@
 #include "core/balance.h"
 #include "core/confstate.h"
 #include "core/counters.h"
+#include "core/ended_row.h"
 #include "core/id_guard.h"
 #include "core/limit.h"
 #include "core/msg.h"
@@ -149,12 +150,19 @@
 struct announce_outcome {
 	uint64_t count; /* announcements handled so far */
 	bool ignored; /* it was late, odd, or about another start */
+	/* It waits until it is known which start ended before this process. */
+	bool held;
 	/* What it was compared with: the start known by then. */
 	char known_id[ID_LEN]; /* empty: none */
 	uint64_t known_started_ms;
 	uint64_t known_seq;
 };
 const struct announce_outcome *node_announce_outcome(const struct node *);
+/*
+ * The last start of the target whose end was acknowledged, by this process or
+ * an earlier one; its id is empty if there was none.  It belongs to the node.
+ */
+const struct target_start *node_ended_start(const struct node *);
 /* How the platform's store last came back from a copy. */
 struct store_return {
 	uint64_t era; /* the present one; 0: unknown, or the store has none */
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -8,7 +8,8 @@
  * serve.c	calls at the target's daemon: ledger, queue, limit, reply
  * fate.c	answers to MSG_ASK_FATE, ledger records of members that leave
  * local_target.c	announcements of the local target
- * membership.c	groups: heartbeats, platform rows, joining and leaving
+ * target_past.c	which of its starts have ended, over restarts of the
+ * daemon membership.c	groups: heartbeats, platform rows, joining and leaving
  * ownership.c	which member may run the ids of callers
  * leave.c	hand-over of the ledger by a member that leaves
  * confsync.c	the configuration: followed, passed on, confirmed
@@ -30,6 +31,7 @@
 #define CORE_NODE_IMPL_H
 
 #include "core/decision_log.h"
+#include "core/ended_row.h"
 #include "core/histogram.h"
 #include "core/ledger.h"
 #include "core/node.h"
@@ -170,6 +172,23 @@
 	struct shed_queue *queue; /* owned; NULL until a target is present */
 };
 
+/*
+ * What earlier processes of this daemon knew of the target; see target_past.c.
+ */
+struct target_past {
+	struct target_start ended; /* the last start known to have ended */
+	struct own_row row; /* that names it in the platform */
+	uint64_t waiting_seq; /* of an announcement to acknowledge; 0: none */
+	bool known; /* a target may join */
+	bool answered; /* the platform has shown the row */
+	uint64_t asked_us; /* last read of it; 0: none yet */
+	bool holds; /* an announcement waits until the past is known */
+	struct announce held;
+	uint64_t held_since_us; /* first announcement of that start */
+	/* The read sent once they had gone on for a while; 0: not yet. */
+	uint64_t goes_on_seq;
+};
+
 /* An operator's new configuration that is being written to the platform. */
 struct submission {
 	uint64_t seq; /* of the operator's request; 0: none in progress */
@@ -205,6 +224,7 @@
 	size_t njobs;
 	struct ledger *ledger;
 	struct local_target target;
+	struct target_past past;
 	struct submission submission;
 	struct msg_list loopback; /* messages from this daemon to itself */
 	/* MSG_FORWARD messages that wait for proof that we own their id. */
@@ -367,13 +387,44 @@
 void membership_store_returned(struct node *, struct instant);
 void membership_tick(struct node *, struct instant, struct msg_list *);
 void membership_destroy(struct node *);
+/*
+ * Remove this daemon's member row of a service if an earlier process left it
+ * there, although the target has ended.
+ */
+void membership_remove_earlier_row(
+    struct node *, const char *service, struct instant, struct msg_list *);
 
 /* local_target.c */
 void local_target_handle_announce(
     struct node *, struct msg *, struct instant, struct msg_list *);
+/* Act on an announcement, which may have been held back for some time. */
+void local_target_take(
+    struct node *, const struct announce *, struct instant, struct msg_list *);
+/* The local target's start ends: it leaves, and no later process uses it. */
+void local_target_has_ended(struct node *, struct instant, struct msg_list *);
 /* Let the local target leave once its announcements have stopped. */
 void local_target_tick(struct node *, struct instant, struct msg_list *);
 
+/* target_past.c */
+/*
+ * Whether an announcement that would make the target join has to wait until it
+ * is known which start ended before this process began.  It is kept, and taken
+ * with local_target_take() once that is known.
+ */
+bool target_past_holds(
+    struct node *, const struct announce *, struct instant, struct msg_list *);
+/* The start of the local target ends: write that to the platform. */
+void target_past_record_end(struct node *, struct instant, struct msg_list *);
+/*
+ * Answer the announcement of that number with MSG_ANNOUNCED once the last end
+ * is written; 0: no answer is wanted.
+ */
+void target_past_acknowledge(struct node *, uint64_t seq, struct msg_list *);
+/* An answer of the platform about the row that target_past.c keeps. */
+void target_past_handle_row(
+    struct node *, struct msg *, struct instant, struct msg_list *);
+void target_past_tick(struct node *, struct instant, struct msg_list *);
+
 /* Shared by membership.c, local_target.c, ownership.c and leave.c. */
 /* Make the local target a member under a new incarnation. */
 void membership_join(
--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -1,4 +1,7 @@
 /* The announce port: requests from the local target become MSG_ANNOUNCE. */
+#include <bsd/sys/queue.h>
+#include <event2/event.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,9 +15,29 @@
 /* To receive a request line and headers, and for an idle connection. */
 #define CONNECTION_TIMEOUT_US (30 * SEC_US)
 
+/*
+ * An announcement that the target leaves is acknowledged once that is written,
+ * so that a later process of this daemon knows of it, or after this time: a
+ * target waits for one second.
+ */
+#define WRITE_WAIT_US (500 * MSEC_US)
+
+/* Such an announcement, until it is acknowledged. */
+struct pending_ack {
+	TAILQ_ENTRY(pending_ack) entry;
+	struct announce_task *task;
+	struct http_exchange *exchange;
+	struct event *timer;
+	uint64_t seq; /* of the MSG_ANNOUNCE */
+};
+
+TAILQ_HEAD(pending_ack_list, pending_ack);
+
 struct announce_task {
 	struct daemon *daemon;
 	struct http_server *http;
+	struct pending_ack_list pending; /* in the order of seq */
+	uint64_t last_seq;
 };
 
 static void
@@ -35,10 +58,12 @@
  * task, which then sends requests to its address.
  */
 static void
-forward_announce(struct announce_task *s, const struct announce *a)
+forward_announce(
+    struct announce_task *s, const struct announce *a, uint64_t seq)
 {
 	struct msg *m = msg_create(MSG_ANNOUNCE), *copy;
 
+	m->seq = seq;
 	m->u.announce = *a;
 	if (!a->leaving) {
 		copy = msg_create(MSG_ANNOUNCE);
@@ -48,19 +73,70 @@
 	task_send(s->daemon->decide, m);
 }
 
+static void
+acknowledge(struct announce_task *s, struct http_exchange *ex)
+{
+	const struct announce_protocol *protocol = s->daemon->announce_protocol;
+
+	reply(ex, 200, protocol->ack_headers, protocol->ack_body);
+}
+
+static void
+pending_ack_destroy(struct pending_ack *p)
+{
+	TAILQ_REMOVE(&p->task->pending, p, entry);
+	event_free(p->timer);
+	free(p);
+}
+
+static void
+on_write_late(evutil_socket_t fd, short what, void *arg)
+{
+	struct pending_ack *p = arg;
+	struct announce_task *s = p->task;
+	struct http_exchange *ex = p->exchange;
+
+	(void)fd;
+	(void)what;
+	log_line(LOG_WARNING, "target-end-unwritten", "waited_ms=%" PRIu64,
+	    (uint64_t)(WRITE_WAIT_US / MSEC_US));
+	pending_ack_destroy(p);
+	acknowledge(s, ex);
+}
+
+/* Acknowledge an announcement once MSG_ANNOUNCED comes. */
+static void
+acknowledge_later(struct announce_task *s, struct http_exchange *ex)
+{
+	const struct timeval wait = {0, WRITE_WAIT_US};
+	struct pending_ack *p = xcalloc(1, sizeof(*p));
+
+	p->task = s;
+	p->exchange = ex;
+	p->seq = ++s->last_seq;
+	p->timer = evtimer_new(s->daemon->base, on_write_late, p);
+	evtimer_add(p->timer, &wait);
+	TAILQ_INSERT_TAIL(&s->pending, p, entry);
+	http_exchange_set_user_data(ex, p);
+}
+
 static void
 on_request(void *owner, struct http_exchange *ex)
 {
 	struct announce_task *s = owner;
-	const struct announce_protocol *protocol = s->daemon->announce_protocol;
 	struct announce a;
 
 	memset(&a, 0, sizeof(a));
-	switch (protocol->read(
+	switch (s->daemon->announce_protocol->read(
 	    http_exchange_request(ex), s->daemon->settings, &a)) {
 	case ANNOUNCE_ACCEPTED:
-		forward_announce(s, &a);
-		reply(ex, 200, protocol->ack_headers, protocol->ack_body);
+		if (a.leaving) {
+			acknowledge_later(s, ex);
+			forward_announce(s, &a, s->last_seq);
+		} else {
+			forward_announce(s, &a, 0);
+			acknowledge(s, ex);
+		}
 		break;
 	case ANNOUNCE_UNKNOWN_PATH:
 		reply(ex, 404, NULL, NULL);
@@ -73,12 +149,31 @@
 	}
 }
 
-static const struct http_server_ops server_ops = {.request = on_request};
+static void
+on_disconnected(void *owner, struct http_exchange *ex)
+{
+	(void)owner;
+	pending_ack_destroy(http_exchange_user_data(ex));
+}
+
+static const struct http_server_ops server_ops = {
+    .request = on_request,
+    .disconnected = on_disconnected,
+};
 
 static void
 receive(void *state, struct msg *m)
 {
-	(void)state;
+	struct announce_task *s = state;
+	struct http_exchange *ex;
+	struct pending_ack *p;
+
+	while (m->kind == MSG_ANNOUNCED &&
+	       (p = TAILQ_FIRST(&s->pending)) != NULL && p->seq <= m->seq) {
+		ex = p->exchange;
+		pending_ack_destroy(p);
+		acknowledge(s, ex);
+	}
 	msg_destroy(m);
 }
 
@@ -86,7 +181,10 @@
 destroy(void *state)
 {
 	struct announce_task *s = state;
+	struct pending_ack *p;
 
+	while ((p = TAILQ_FIRST(&s->pending)) != NULL)
+		pending_ack_destroy(p);
 	http_server_destroy(s->http);
 	free(s);
 }
@@ -108,6 +206,7 @@
 	struct announce_task *s = xcalloc(1, sizeof(*s));
 
 	s->daemon = d;
+	TAILQ_INIT(&s->pending);
 	s->http = http_server_create(
 	    d->base, d->settings->announce, &set, &server_ops, s);
 	if (s->http == NULL) {
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -39,6 +39,7 @@
 	unsigned int lines_suppressed; /* not logged in this second */
 	uint64_t current_s; /* monotonic second that both counts apply to */
 	char announced_state[16]; /* of the target, as last logged */
+	uint64_t ends_restored_logged; /* as last logged */
 	uint64_t ignored_logged_s; /* monotonic second; ignored announcement */
 	uint64_t odd_rows_logged; /* ignored rows, as last logged */
 	uint64_t odd_rows_logged_s; /* monotonic second of that */
@@ -103,6 +104,8 @@
 	case MSG_ROW_READ:
 	case MSG_ROW_WRITE:
 		return d->platform;
+	case MSG_ANNOUNCED:
+		return d->announce;
 	case MSG_OPS_REPLY:
 		return m->seq & PROBE_SEQ_FLAG ? d->probe : d->operators;
 	default:
@@ -166,7 +169,7 @@
 
 /*
  * Log what the core made of an announcement: a change of the target's state,
- * or at most once a second an announcement that was ignored.
+ * or at most once a second an announcement that was ignored or is held back.
  */
 static void
 log_announcement(struct decide_task *s, const struct announce *a)
@@ -178,8 +181,10 @@
 	if (o->ignored ? current_s == s->ignored_logged_s
 		       : strcmp(state, s->announced_state) == 0)
 		return;
-	log_line(o->ignored ? LOG_WARNING : LOG_NOTICE,
-	    o->ignored ? "announcement-ignored" : "target-announced",
+	log_line(o->ignored && !o->held ? LOG_WARNING : LOG_NOTICE,
+	    o->held	 ? "announcement-held"
+	    : o->ignored ? "announcement-ignored"
+			 : "target-announced",
 	    "state=%s id=%s born_ms=%" PRIu64 " seq=%" PRIu64 " slots=%" PRIu32
 	    " warmup_ms=%" PRIu64 " known_id=%s known_born_ms=%" PRIu64
 	    " known_seq=%" PRIu64,
@@ -224,6 +229,22 @@
 		arm_timer(s);
 }
 
+/* Log that the target's last start ended before this process began. */
+static void
+log_target_past(struct decide_task *s)
+{
+	const struct target_start *ended = node_ended_start(s->node);
+	uint64_t count =
+	    node_counters(s->node)->values[COUNT_TARGET_ENDS_RESTORED];
+
+	if (count == s->ends_restored_logged)
+		return;
+	log_line(LOG_NOTICE, "target-end-restored",
+	    "id=%s born_ms=%" PRIu64 " service=%s", ended->id,
+	    ended->started_ms, ended->service);
+	s->ends_restored_logged = count;
+}
+
 static void
 log_platform_requests(const struct node *n)
 {
@@ -479,6 +500,7 @@
 	log_old_answers(s);
 	log_store_rows(s);
 	log_stray_replies(s);
+	log_target_past(s);
 	holdings_log(s->daemon->holdings);
 	publish_state(s);
 	exit_if_drained(s, now);
--- a/t/lib-fleet.sh
+++ b/t/lib-fleet.sh
@@ -89,12 +89,17 @@
 	wait_http "$(port "$1" 2)" /status
 }
 
-# daemon_restart NUMBER: kill a daemon and start it again once it has ended, so
-# that its ports are free
-daemon_restart () {
+# daemon_kill NUMBER: kill a daemon and wait until it has ended, so that its
+# ports are free
+daemon_kill () {
 	eval "pid=\$DAEMON_PID_$1"
 	kill -KILL "$pid"
 	wait "$pid" 2>/dev/null || :
+}
+
+# daemon_restart NUMBER: kill a daemon and start it again
+daemon_restart () {
+	daemon_kill "$1"
 	daemon_run "$1" || fail "daemon $1 does not start"
 }
 
--- a/t/standin-server.c
+++ b/t/standin-server.c
@@ -11,6 +11,8 @@
  *		draining	announce that it leaves, and go on serving
  *		left		announce once that it has left, then no more,
  *				and go on serving
+ *		late		the same, but a last heartbeat of before is
+ *				sent now
  *	/-/stats		the numbers of requests that arrived, ran and
  *				were for another instance
  *
@@ -34,9 +36,11 @@
 	MODE_SILENT,
 	MODE_DRAINING,
 	MODE_LEFT,
+	MODE_LATE,
 };
 
-static const char *const mode_names[] = {"ok", "silent", "draining", "left"};
+static const char *const mode_names[] = {
+    "ok", "silent", "draining", "left", "late"};
 
 struct server {
 	struct event_base *base;
--- a/t/test-store-era.cc
+++ b/t/test-store-era.cc
@@ -23,6 +23,7 @@
 
 const struct addr SELF = {0x0a000001, 7000}, PEER = {0x0a000002, 7000};
 const char ROOT_KEY[] = "control/a";
+const char ENDED_KEY[] = "ended/a/167772161:7000";
 
 uint64_t
 position(uint64_t era, uint64_t version)
@@ -78,13 +79,9 @@
 		struct msg *m;
 
 		for (;;) {
-			TAILQ_FOREACH (m, &sent, entry) {
-				if (m->kind == kind &&
-				    strcmp(m->u.row.key, key) == 0) {
-					TAILQ_REMOVE(&sent, m, entry);
-					return m;
-				}
-			}
+			m = find(kind, key);
+			if (m != nullptr)
+				return m;
 			msg_list_clear(&sent);
 			if (ticks-- == 0)
 				return nullptr;
@@ -151,6 +148,24 @@
 		if (leaving)
 			a->started_ms = node->target.started_ms;
 		node_handle(node, m, now, &sent);
+		/* No start of the target has ended before this process. */
+		m = find(MSG_ROW_READ, ENDED_KEY);
+		if (m != nullptr)
+			answer(m, ROW_ABSENT, node_store_return(node)->era, 0);
+	}
+	/* Take a request that was sent; NULL if it was not. */
+	struct msg *
+	find(enum msg_kind kind, const char *key)
+	{
+		struct msg *m;
+
+		TAILQ_FOREACH (m, &sent, entry) {
+			if (m->kind == kind && strcmp(m->u.row.key, key) == 0) {
+				TAILQ_REMOVE(&sent, m, entry);
+				return m;
+			}
+		}
+		return nullptr;
 	}
 	/* Announce a target, and confirm the write of its row. */
 	void
