core: let members know which start of a target has ended

The other members of the service heard of the end, but not of which start of the target, so a new incarnation of the same start was a new member for them.

A member's record now names the start of its target, as a number, and whether that start has ended. A later incarnation of a start that ended is leaving from the beginning, and its daemon learns so from the first answer of a member; it then leaves and writes the row again. A daemon that only stopped ends no start. Daemons of an earlier version state no start and are treated as before.

--- a/core/ended_row.c
+++ b/core/ended_row.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/ended_row.h"
+#include "core/hash.h"
 
 void
 ended_row_key(char *key, size_t len, const char *dc, struct addr daemon)
@@ -39,3 +40,14 @@
 	name_copy(s->service, value, sizeof(s->service));
 	return NULL;
 }
+
+uint64_t
+target_start_tag(const struct target_start *s)
+{
+	uint64_t tag;
+
+	if (s->id[0] == '\0')
+		return 0;
+	tag = hash_mix(hash_string(s->id) ^ s->started_ms);
+	return tag != 0 ? tag : 1;
+}
--- a/core/ended_row.h
+++ b/core/ended_row.h
@@ -38,5 +38,10 @@
  */
 const char *ended_row_parse(
     const char *value, uint64_t wall_ms, struct target_start *);
+/*
+ * A number that tells a start from others in messages between daemons; 0 if the
+ * start has no id.
+ */
+uint64_t target_start_tag(const struct target_start *);
 
 #endif
--- a/core/group.c
+++ b/core/group.c
@@ -128,23 +128,55 @@
 	return true;
 }
 
+/*
+ * Whether an earlier incarnation of the record's member said that its target's
+ * start ends.  Its daemon may have been restarted since, and not know of it.
+ */
+static bool
+has_ended_start(struct group *g, const struct member_record *r)
+{
+	struct member *m;
+
+	if (r->start == 0)
+		return false;
+	RB_FOREACH (m, member_tree, &g->members) {
+		if (addr_equal(m->record.addr, r->addr) &&
+		    m->record.start == r->start && m->record.start_ended)
+			return true;
+	}
+	return false;
+}
+
 bool
 group_merge(struct group *g, const struct member_record *r, struct instant now)
 {
 	struct member *m = group_find(g, r->addr);
+	bool ended;
 
 	if (m == NULL || m->record.incarnation < r->incarnation) {
 		if (m != NULL && m->is_self)
 			return false;
 		if (m != NULL && !member_ended(m))
 			member_end(m, MEMBER_GONE, now);
-		group_insert(g, r, now);
+		ended = has_ended_start(g, r);
+		m = group_insert(g, r, now);
+		if (ended) {
+			m->record.start_ended = true;
+			if (m->record.state == MEMBER_ALIVE)
+				m->record.state = MEMBER_LEAVING;
+		}
 		return true;
 	}
 	if (m->record.incarnation > r->incarnation)
 		return false;
 	if (r->slots != 0)
 		m->record.slots = r->slots;
+	if (!m->is_self) {
+		if (r->start != 0)
+			m->record.start = r->start;
+		if (r->start_ended)
+			m->record.start_ended = true;
+	}
 	return member_apply_state(g, m, r, now);
 }
 
--- a/core/group.h
+++ b/core/group.h
@@ -100,7 +100,11 @@
 void group_destroy(struct group *);
 /* The latest known incarnation at an address, or NULL. */
 struct member *group_find(struct group *, struct addr);
-/* Merge one record; true if it added a member or changed a state. */
+/*
+ * Merge one record; true if it added a member or changed a state.  A new
+ * incarnation whose target's start is known to have ended is leaving from the
+ * beginning.
+ */
 bool group_merge(
     struct group *, const struct member_record *, struct instant now);
 /*
--- a/core/local_target.c
+++ b/core/local_target.c
@@ -132,9 +132,22 @@
 	return t->started_ms != 0 && a->started_ms > t->started_ms;
 }
 
+uint64_t
+local_target_start_tag(const struct node *n)
+{
+	struct target_start s = {.started_ms = n->target.started_ms};
+
+	name_copy(s.id, n->target.id, sizeof(s.id));
+	return target_start_tag(&s);
+}
+
 void
 local_target_has_ended(struct node *n, struct instant now, struct msg_list *out)
 {
+	struct group *g = membership_find(n, n->target.service);
+
+	if (g != NULL && g->self != NULL)
+		g->self->record.start_ended = true;
 	membership_leave(n, now, out);
 	target_past_record_end(n, now, out);
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -299,6 +299,7 @@
 	r.slots = n->target.slots;
 	r.state = MEMBER_ALIVE;
 	name_copy(r.dc, n->setup.dc, sizeof(r.dc));
+	r.start = local_target_start_tag(n);
 	if (g->self != NULL) {
 		g->self->is_self = false;
 		g->self->record.state = MEMBER_GONE;
@@ -409,19 +410,34 @@
 	return r->state == MEMBER_GONE;
 }
 
+/*
+ * Whether a record shows that the local target's start has ended: an earlier
+ * process of this daemon told the others so.
+ */
+static bool
+shows_ended_start(
+    struct node *n, struct group *g, const struct member_record *r)
+{
+	return is_own_group(n, g) && r->start_ended && r->start != 0 &&
+	       addr_equal(r->addr, n->setup.self) &&
+	       r->start == g->self->record.start &&
+	       !g->self->record.start_ended;
+}
+
 void
 membership_handle_members(
     struct node *n, struct msg *msg, struct instant now, struct msg_list *out)
 {
 	struct members *r = &msg->u.members;
 	struct group *g = membership_find(n, r->service);
-	bool must_rejoin = false, changed = false;
+	bool must_rejoin = false, changed = false, has_ended = false;
 	struct member *m;
 	int i;
 
 	if (g == NULL)
 		return;
 	for (i = 0; i < r->count; i++) {
+		has_ended |= shows_ended_start(n, g, &r->records[i]);
 		if (needs_new_incarnation(n, g, &r->records[i]))
 			must_rejoin = true;
 		else if (group_merge(g, &r->records[i], now))
@@ -439,6 +455,8 @@
 		m->pressure_heard_us = now.mono_us;
 		m->load_permille = r->load_permille;
 	}
+	if (has_ended)
+		local_target_has_ended(n, now, out);
 	if (must_rejoin && !n->target.leaving) {
 		n->counters.values[COUNT_REINCARNATIONS]++;
 		membership_join(n, g, now, out);
--- a/core/msg.h
+++ b/core/msg.h
@@ -204,6 +204,8 @@
 	enum member_state state;
 	uint32_t slots; /* calls that the target runs at once */
 	char dc[NAME_LEN];
+	uint64_t start; /* of the target, by target_start_tag(); 0: unknown */
+	bool start_ended; /* the target has said that this start ends */
 };
 
 /* A heartbeat, or a poll by a daemon that only calls the service. */
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -402,6 +402,8 @@
     struct node *, const struct announce *, struct instant, struct msg_list *);
 /* The local target's start ends: it leaves, and no later process uses it. */
 void local_target_has_ended(struct node *, struct instant, struct msg_list *);
+/* A number that tells its present start from others; 0: unknown. */
+uint64_t local_target_start_tag(const struct node *);
 /* Let the local target leave once its announcements have stopped. */
 void local_target_tick(struct node *, struct instant, struct msg_list *);
 
--- a/t/replay.c
+++ b/t/replay.c
@@ -945,7 +945,7 @@
 	struct host *h = &r->hosts[host];
 	struct msg *m;
 
-	if (h->spec.service == NULL)
+	if (h->spec.service == NULL || h->spec.silent)
 		return;
 	m = msg_create(MSG_ANNOUNCE);
 	name_copy(m->u.announce.service, h->spec.service, NAME_LEN);
@@ -954,6 +954,15 @@
 	deliver_after(r, host, host, m, ANNOUNCE_DELAY_US);
 }
 
+void
+replay_announce(struct replay *r, int host, const struct announce *a)
+{
+	struct msg *m = msg_create(MSG_ANNOUNCE);
+
+	m->u.announce = *a;
+	deliver_after(r, host, host, m, 0);
+}
+
 void
 replay_start(struct replay *r, int host)
 {
--- a/t/replay.h
+++ b/t/replay.h
@@ -58,6 +58,7 @@
 	int region_dcs; /* number of data centres in that region */
 	const char *service; /* the target's service; NULL: no target */
 	const char *dependency_path; /* each run calls it once; NULL: no call */
+	bool silent; /* it announces itself by replay_announce() only */
 	uint32_t slots; /* calls that the target runs at once */
 	uint32_t announced_slots; /* 0: as many as slots */
 	uint64_t
@@ -166,6 +167,8 @@
  * was reported.
  */
 void replay_break_link(struct replay *, int a, int b);
+/* A host's target announces itself; the announcement is copied. */
+void replay_announce(struct replay *, int host, const struct announce *);
 /* Order a host's daemon to drain. */
 void replay_drain(struct replay *, int host);
 /* Runs that start from now on take factor times as long as mean_run_us says. */
--- a/t/t0019-target-left-daemon-killed.sh
+++ b/t/t0019-target-left-daemon-killed.sh
@@ -63,4 +63,19 @@
 operator_put_again
 left_target_gets_no_call "the store is back"
 
+next_part "the store lost it"
+users_fleet_start orders orders-2 orders orders
+store copy
+server_mode 3 left
+sleep 0.3
+daemon_kill 3
+store away
+sleep 0.8
+store return
+operator_put_again
+sleep 1
+daemon_run 3 || fail "daemon 3 does not start"
+sleep 1
+left_target_gets_no_call "other daemons know it"
+
 finish
--- a/t/test-announce.cc
+++ b/t/test-announce.cc
@@ -665,4 +665,9 @@
 	EXPECT_STREQ(r.service, s.service);
 	EXPECT_STREQ(r.id, s.id);
 	EXPECT_EQ(r.started_ms, s.started_ms);
+	EXPECT_EQ(target_start_tag(&r), target_start_tag(&s));
+	s.started_ms++;
+	EXPECT_NE(target_start_tag(&r), target_start_tag(&s));
+	s.id[0] = '\0';
+	EXPECT_EQ(target_start_tag(&s), 0u);
 }
--- a/t/test-frame.cc
+++ b/t/test-frame.cc
@@ -72,6 +72,8 @@
 		m->u.members.records = static_cast<struct member_record *>(
 		    xcalloc(2, sizeof(struct member_record)));
 		m->u.members.records[1].addr = {5, 6};
+		m->u.members.records[1].start = 7;
+		m->u.members.records[1].start_ended = true;
 		break;
 	case MSG_CONFIG:
 		m->u.config.redirect = {1, 2};
--- a/t/test-group.cc
+++ b/t/test-group.cc
@@ -84,6 +84,52 @@
 	EXPECT_FALSE(group_merge(t.g, &r, instant_at(SEC_US)));
 }
 
+/*
+ * Guards against calls to a target that has said that it ends, and whose daemon
+ * was restarted and does not know of it.
+ */
+TEST(Group, ALaterIncarnationOfAStartThatEndedIsLeaving)
+{
+	const struct {
+		uint64_t start;
+		enum member_state state;
+	} cases[] = {
+	    {7, MEMBER_LEAVING}, /* the same start */
+	    {8, MEMBER_ALIVE}, /* the target was started again */
+	    {0, MEMBER_ALIVE}, /* a daemon of an earlier version */
+	};
+
+	for (const auto &c : cases) {
+		ThreeMembers t;
+		struct member_record r = record(2), later = record(2, 2);
+
+		r.start = 7;
+		r.state = MEMBER_LEAVING;
+		group_merge(t.g, &r, instant_at(SEC_US));
+		r.start_ended = true;
+		group_merge(t.g, &r, instant_at(SEC_US));
+		later.start = c.start;
+		EXPECT_TRUE(group_merge(t.g, &later, instant_at(2 * SEC_US)));
+		EXPECT_EQ(group_find(t.g, {2, 1})->record.state, c.state)
+		    << c.start;
+		EXPECT_EQ(group_find(t.g, {2, 1})->record.start_ended,
+		    c.state == MEMBER_LEAVING);
+	}
+}
+
+/* A daemon that stops leaves too, but its target may go on with the next. */
+TEST(Group, ALaterIncarnationOfAStartWhoseDaemonStoppedIsAlive)
+{
+	ThreeMembers t;
+	struct member_record r = record(2), later = record(2, 2);
+
+	r.start = later.start = 7;
+	r.state = MEMBER_LEFT;
+	group_merge(t.g, &r, instant_at(SEC_US));
+	EXPECT_TRUE(group_merge(t.g, &later, instant_at(2 * SEC_US)));
+	EXPECT_EQ(group_find(t.g, {2, 1})->record.state, MEMBER_ALIVE);
+}
+
 TEST(Group, DigestChangesWithTheStateOfAMember)
 {
 	ThreeMembers a, b;
--- a/t/test-membership.cc
+++ b/t/test-membership.cc
@@ -775,6 +775,65 @@
 	}
 }
 
+/*
+ * Guards against calls to a target that left: the daemon that acknowledged it
+ * is killed, the store comes back from a copy without its word, and a late
+ * announcement arrives at the next process, once or again after another
+ * restart.  The other members know that this start of the target has ended.
+ */
+TEST(Membership, MembersKnowWhichStartEndedIfTheStoreLostIt)
+{
+	for (int restarts = 1; restarts <= 2; restarts++) {
+		ReturnFleet f;
+		struct announce a = {};
+
+		for (int i = 0; i < 2; i++)
+			f.add("records");
+		f.spec.silent = true;
+		f.add("records");
+		f.spec.silent = false;
+		f.add(nullptr);
+		name_copy(a.service, "records", sizeof(a.service));
+		name_copy(a.id, "a", sizeof(a.id));
+		a.started_ms = 100;
+		a.slots = 16;
+		a.daemon_outlives_target = true;
+		a.seq = 1;
+		replay_announce(f.r, 2, &a);
+		f.run(3 * SEC_US);
+		f.start_load({3}, 1 * SEC_US);
+		f.run(2 * SEC_US);
+		EXPECT_GT(f.counter(2, COUNT_JOBS_STARTED), 0u);
+		replay_copy_platform(f.r);
+		a.seq = 9;
+		a.leaving = true;
+		replay_announce(f.r, 2, &a);
+		f.run(300 * MSEC_US);
+		a.leaving = false;
+		for (int i = 0; i < restarts; i++) {
+			replay_kill(f.r, 2);
+			replay_return_platform(f.r);
+			f.run(300 * MSEC_US);
+			replay_start(f.r, 2);
+			f.run(2 * SEC_US);
+			a.seq++;
+			replay_announce(f.r, 2, &a);
+			f.run(100 * MSEC_US);
+		}
+		f.start_load({3, 0}, 8 * SEC_US);
+		f.run(10 * SEC_US);
+		EXPECT_EQ(f.counter(2, COUNT_JOBS_STARTED), 0u) << restarts;
+		/* A later start is used. */
+		name_copy(a.id, "b", sizeof(a.id));
+		a.started_ms = 200;
+		replay_announce(f.r, 2, &a);
+		f.run(1 * SEC_US);
+		f.start_load({3, 0}, 2 * SEC_US);
+		f.run(3 * SEC_US);
+		EXPECT_GT(f.counter(2, COUNT_JOBS_STARTED), 0u) << restarts;
+	}
+}
+
 /*
  * The wall clock was set back while the daemon was down.  As a caller of the
  * service it has heard of its earlier incarnation before its target joins.
--- a/wire/frame_decode.c
+++ b/wire/frame_decode.c
@@ -138,6 +138,8 @@
 	r->incarnation = p->incarnation;
 	r->state = p->state;
 	r->slots = p->slots;
+	r->start = p->start;
+	r->start_ended = p->start_ended;
 	return copy_string(r->dc, sizeof(r->dc), p->dc);
 }
 
--- a/wire/frame_encode.c
+++ b/wire/frame_encode.c
@@ -119,6 +119,8 @@
 	p->state = r->state;
 	p->slots = r->slots;
 	p->dc = borrow_string(r->dc);
+	p->start = r->start;
+	p->start_ended = r->start_ended;
 }
 
 static void
--- a/wire/link.pb-c.c
+++ b/wire/link.pb-c.c
@@ -1603,7 +1603,7 @@
   (ProtobufCMessageInit) link__fate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__member__field_descriptors[6] =
+static const ProtobufCFieldDescriptor link__member__field_descriptors[8] =
 {
   {
     "ip",
@@ -1677,6 +1677,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Member, start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_ended",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Member, start_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__member__field_indices_by_name[] = {
   5,   /* field[5] = dc */
@@ -1684,13 +1708,15 @@
   0,   /* field[0] = ip */
   1,   /* field[1] = port */
   4,   /* field[4] = slots */
+  6,   /* field[6] = start */
+  7,   /* field[7] = start_ended */
   3,   /* field[3] = state */
 };
 static const ProtobufCIntRange link__member__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 3 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor link__member__descriptor =
 {
@@ -1700,7 +1726,7 @@
   "Link__Member",
   "link",
   sizeof(Link__Member),
-  6,
+  8,
   link__member__field_descriptors,
   link__member__field_indices_by_name,
   2,  link__member__number_ranges,
--- a/wire/link.pb-c.h
+++ b/wire/link.pb-c.h
@@ -178,10 +178,12 @@
   uint32_t state;
   uint32_t slots;
   char *dc;
+  uint64_t start;
+  protobuf_c_boolean start_ended;
 };
 #define LINK__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__member__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Link__MembersAsk
