core: let the route alone say what may run again

Cause: admit() widened what the configuration says by the method, so that a GET or HEAD of any route had no ledger record and was sent again after an outcome that is unknown. Ruled out: the reading of the manifest and of our own configuration, which had the type right.

Now route_may_repeat() answers for all, by the route's type alone; what has no type, or one that is not known, may run once. The setting "idempotent" of our own configuration means the same.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -264,6 +264,22 @@
 	}
 }
 
+struct route *
+catalog_request_route(struct catalog *c, const struct request *req)
+{
+	struct route *r = NULL;
+
+	if (req->host[0] != '\0')
+		r = catalog_host_route(c, req->host, req->path);
+	return r != NULL ? r : catalog_route(c, req->path);
+}
+
+bool
+route_may_repeat(const struct route *r)
+{
+	return r != NULL && r->idempotent;
+}
+
 bool
 service_depends_on(const struct service *s, const struct service *on)
 {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -169,6 +169,17 @@
 /* The same among the routes of a host. */
 struct route *catalog_host_route(
     struct catalog *, const char *host, const char *path);
+/*
+ * The route of a request, or NULL: those of its host take precedence over those
+ * of any host.
+ */
+struct route *catalog_request_route(struct catalog *, const struct request *);
+/*
+ * Whether a call of the route may run more than once.  The route alone says so,
+ * whatever the method of the request is.  A call that has no route (NULL) may
+ * not.
+ */
+bool route_may_repeat(const struct route *);
 /*
  * The service of one call of a route, or NULL if it has none; draw is a
  * random number in [0, 1).
--- a/core/entry.c
+++ b/core/entry.c
@@ -267,12 +267,6 @@
 	return j != NULL && j->deadline_us < end_us ? j->deadline_us : end_us;
 }
 
-static bool
-is_safe_method(const char *method)
-{
-	return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
-}
-
 void
 entry_generate_id(struct node *n, struct entry_call *c, struct instant now)
 {
@@ -310,6 +304,20 @@
 	return c->id_stamp_ms + remembered_ms > now.wall_ms;
 }
 
+/*
+ * Decide by the route whether the call may run more than once, and give it the
+ * id that it needs if it may not.
+ */
+static bool
+settle_repeat(struct node *n, struct entry_call *c, const struct route *r,
+    struct instant now, struct failure *f)
+{
+	c->idempotent = route_may_repeat(r);
+	c->owned = n->setup.ids_outlive_attempts && !c->idempotent &&
+		   c->call.id[0] != '\0';
+	return c->idempotent || assign_id(n, c, now, f);
+}
+
 static bool
 is_config_stale(const struct node *n, const struct route *r, struct instant now)
 {
@@ -322,17 +330,6 @@
 	       now.mono_us - n->conf.confirmed_us > max_age_us;
 }
 
-/* Routes of the requested host take precedence over those of any host. */
-static struct route *
-find_route(struct node *n, const struct request *req)
-{
-	struct route *r = NULL;
-
-	if (req->host[0] != '\0')
-		r = catalog_host_route(n->conf.catalog, req->host, req->path);
-	return r != NULL ? r : catalog_route(n->conf.catalog, req->path);
-}
-
 static struct service *
 choose_service(struct node *n, const struct route *r)
 {
@@ -392,7 +389,7 @@
 	if (c->call.context_invalid)
 		return false;
 	f->reason = REASON_NO_ROUTE;
-	r = find_route(n, &c->call.request);
+	r = catalog_request_route(n->conf.catalog, &c->call.request);
 	service = r != NULL ? choose_service(n, r) : NULL;
 	if (service == NULL)
 		return false;
@@ -408,7 +405,6 @@
 	c->context.importance = r->importance;
 	c->allowance =
 	    n->setup.retrier->begin(false, 0, n->conf.catalog->retry_allowance);
-	c->idempotent = r->idempotent || is_safe_method(c->call.request.method);
 	if (c->call.has_context ? !check_context(n, c, service, &f->reason)
 				: !check_key(n, c, r, &f->reason))
 		return false;
@@ -418,9 +414,7 @@
 		c->context.importance = r->importance;
 	if (!n->setup.ids_outlive_attempts && c->call.id[0] != '\0')
 		name_copy(c->id, c->call.id, sizeof(c->id));
-	c->owned = n->setup.ids_outlive_attempts && !c->idempotent &&
-		   c->call.id[0] != '\0';
-	return c->idempotent || assign_id(n, c, now, f);
+	return settle_repeat(n, c, r, now, f);
 }
 
 static void
--- a/t/lib-store.sh
+++ b/t/lib-store.sh
@@ -14,13 +14,13 @@
 	date +%s%3N
 }
 
-# Write a manifest to standard output: manifest VERSION SERVICE KEYS [PREFIX].
-# SERVICE is that of the route /place/, KEYS are separated by commas.  PREFIX is
-# a further route, at the service orders.
+# Write a manifest to standard output: manifest VERSION SERVICE KEYS [PREFIX
+# [TYPE]].  SERVICE is that of the route /place/, KEYS are separated by commas.
+# PREFIX is a further route, at the service orders.
 manifest () {
 	keys=$(echo "$3" | sed 's/,/","/g')
 	more=
-	test -z "${4:-}" || more=$(route r-2 "$4" orders),
+	test -z "${4:-}" || more=$(route r-2 "$4" orders "${5:-unsafe}"),
 	cat <<-EOT
 	{"version": $1, "resources": [
 	$(route r-1 /place/ "$2"), $more
@@ -37,17 +37,17 @@
 	EOT
 }
 
-# route NAME PREFIX SERVICE
+# route NAME PREFIX SERVICE [TYPE]
 route () {
 	cat <<-EOT
 	{"entry_type": "routes", "metadata": {"name": "$1"},
 	 "spec": {"authority": "shop.example", "path_prefix": "$2",
-	  "route_type": "unsafe", "timeout_s": 5, "target_latency_s": 1.5,
+	  "route_type": "${4:-unsafe}", "timeout_s": 5, "target_latency_s": 1.5,
 	  "priority": 0, "upstream": "$3", "max_attempts": 2, "public": false}}
 	EOT
 }
 
-# operator_put VERSION SERVICE KEYS [PREFIX]: write that manifest; its
+# operator_put VERSION SERVICE KEYS [PREFIX [TYPE]]: write that manifest; its
 # acknowledgement is at ACK_MS.
 operator_put () {
 	manifest "$@" >"$DIR/manifest"
@@ -137,12 +137,12 @@
 	return 1
 }
 
-# call NUMBER KEY PATH: make one call and add a line "SENT_MS DAEMON KEY PATH
+# call NUMBER KEY PATH: make one call with CALL_METHOD, or else GET, and add a line "SENT_MS DAEMON KEY PATH
 # STATUS SERVICE INSTANCE" to DIR/calls.  Sets CALL_STATUS, 000 if there was no
 # response.
 call () {
 	sent=$(now_ms)
-	answer=$(get "$(port "$1" 1)" "$3" --max-time 3 -w '\n%{http_code}' \
+	answer=$(get "$(port "$1" 1)" "$3" -X "${CALL_METHOD:-GET}" --max-time 3 -w '\n%{http_code}' \
 		-H "Host: shop.example" -H "Authorization: Bearer $2" \
 		-H "Request-Id: $sent-$1-$2" -H "Deadline-Ms: 2000") || :
 	CALL_STATUS=$(echo "$answer" | tail -n 1)
--- a/t/standin-server.c
+++ b/t/standin-server.c
@@ -7,8 +7,9 @@
  *
  *	/-/mode?mode=M		change the behaviour:
  *		ok		as described
- *		silent		send no heartbeats
- *		draining	announce that it leaves, and go on serving
+ *		lossy		run each request and close its connection
+ *without an answer silent		send no heartbeats draining	announce
+ *that it leaves, and go on serving
  *		left		announce once that it has left, then no more,
  *				and go on serving
  *		late		the same, but a last heartbeat of before is
@@ -33,6 +34,7 @@
 
 enum mode {
 	MODE_OK,
+	MODE_LOSSY,
 	MODE_SILENT,
 	MODE_DRAINING,
 	MODE_LEFT,
@@ -40,7 +42,7 @@
 };
 
 static const char *const mode_names[] = {
-    "ok", "silent", "draining", "left", "late"};
+    "ok", "lossy", "silent", "draining", "left", "late"};
 
 struct server {
 	struct event_base *base;
@@ -98,6 +100,10 @@
 	}
 	s->runs++;
 	record(s, req, "run");
+	if (s->mode == MODE_LOSSY) {
+		evhttp_connection_free(evhttp_request_get_connection(req));
+		return;
+	}
 	standin_reply(req, 200, "%s %s\n", service, instance);
 }
 
@@ -153,7 +159,8 @@
 
 	(void)fd;
 	(void)what;
-	if (s->mode == MODE_OK || s->mode == MODE_DRAINING)
+	if (s->mode == MODE_OK || s->mode == MODE_LOSSY ||
+	    s->mode == MODE_DRAINING)
 		send_heartbeat(s);
 }
 
--- a/t/test-attempt.cc
+++ b/t/test-attempt.cc
@@ -3,9 +3,11 @@
  * the calls at a daemon that drains.
  */
 #include <gtest/gtest.h>
+#include <string>
 #include <vector>
 
 extern "C" {
+#include "config/catalog_ini.h"
 #include "core/node.h"
 #include "platform/platform.h"
 }
@@ -234,3 +236,256 @@
 	EXPECT_EQ(last_failure().verdict, VERDICT_MAY_HAVE_RUN);
 	EXPECT_TRUE(node_is_drained(node));
 }
+
+namespace {
+
+const struct addr PEER_2 = {0x0a000003, 7000};
+
+/* The platform's configuration; type is a JSON member, or empty for none. */
+std::string
+manifest(int version, const std::string &type, bool has_route = true)
+{
+	std::string text = R"({"version":)" + std::to_string(version) +
+			   R"(,"resources":[{"entry_type":"upstreams",)"
+			   R"("metadata":{"name":"a"},"spec":{}})";
+
+	if (has_route)
+		text += R"(,{"entry_type":"routes","metadata":{"name":"r"},)"
+			R"("spec":{"authority":"x","path_prefix":"/p/",)" +
+			type +
+			R"("upstream":"a","max_attempts":2,"public":true}})";
+	return text + "]}";
+}
+
+const char SAFE[] = R"("route_type":"safe",)";
+const char UNSAFE[] = R"("route_type":"unsafe",)";
+
+std::string
+native_config(const std::string &settings)
+{
+	return "[policy]\nweighing = recovery\nretries = 3\n"
+	       "[datacentre z]\n[service a]\n"
+	       "[route /p]\nservice = a\nopen = yes\n" +
+	       settings;
+}
+
+/* An entry daemon with two targets that it can send a call to. */
+struct Entry {
+	struct node *node;
+	struct node_setup s = {};
+	struct instant now = {1000 * SEC_US, 1700000000000};
+	struct msg_list out = TAILQ_HEAD_INITIALIZER(out);
+	uint64_t config_version = 0;
+
+	explicit Entry(const std::string &config, bool native = false)
+	{
+		s.self = SELF;
+		name_copy(s.dc, "z", sizeof(s.dc));
+		s.incarnation = now.wall_ms;
+		s.seed = 1;
+		s.balancer = &balancer_two_choices;
+		s.limiter = &limiter_fixed;
+		s.shedder = &shedder_goal;
+		s.retrier = &retrier_tree;
+		s.guard = &guard_full;
+		s.parser =
+		    native ? &catalog_parser_native : &catalog_parser_platform;
+		s.ids_outlive_attempts = native;
+		s.max_calls = s.max_queue = s.max_ids = 100;
+		s.default_deadline_us = s.max_deadline_us = 60 * SEC_US;
+		node = node_create(&s);
+		configure(config);
+	}
+	~Entry()
+	{
+		msg_list_clear(&out);
+		node_destroy(node);
+	}
+	void
+	handle(struct msg *m)
+	{
+		node_handle(node, m, now, &out);
+	}
+	void
+	configure(const std::string &text)
+	{
+		struct msg *m = msg_create(MSG_ROW);
+
+		name_copy(m->u.row.key, "config", sizeof(m->u.row.key));
+		m->u.row.status = ROW_FOUND;
+		m->u.row.version = ++config_version;
+		buffer_set(&m->u.row.value, text.data(), text.size());
+		handle(m);
+		ASSERT_EQ(node_config_version(node), config_version) << text;
+	}
+	void
+	learn_members()
+	{
+		struct msg *m = msg_create(MSG_MEMBERS);
+		struct members *r = &m->u.members;
+
+		m->peer = PEER;
+		name_copy(r->service, "a", sizeof(r->service));
+		r->records = static_cast<struct member_record *>(
+		    xcalloc(2, sizeof(*r->records)));
+		r->count = 2;
+		r->records[0].addr = PEER;
+		r->records[1].addr = PEER_2;
+		for (int i = 0; i < 2; i++) {
+			r->records[i].incarnation = now.wall_ms;
+			r->records[i].slots = 8;
+		}
+		handle(m);
+	}
+	void
+	call(const char *method)
+	{
+		struct msg *m = msg_create(MSG_CALL);
+		struct request *r = &m->u.call.request;
+
+		m->seq = 1;
+		name_copy(r->method, method, sizeof(r->method));
+		name_copy(r->host, "x", sizeof(r->host));
+		name_copy(r->path, "/p/1", sizeof(r->path));
+		handle(m);
+	}
+	void
+	advance(uint64_t us)
+	{
+		for (; us >= 10 * MSEC_US; us -= 10 * MSEC_US) {
+			now.mono_us += 10 * MSEC_US;
+			now.wall_ms += 10;
+			node_tick(node, now, &out);
+		}
+	}
+	/* The tries that were sent; the last one, or NULL. */
+	unsigned int
+	tries(const struct msg **last = nullptr)
+	{
+		const struct msg *m;
+		unsigned int n = 0;
+
+		TAILQ_FOREACH (m, &out, entry) {
+			if (m->kind != MSG_FORWARD)
+				continue;
+			n++;
+			if (last != nullptr)
+				*last = m;
+		}
+		return n;
+	}
+	/* The outcome of the last try is unknown: its answer was lost. */
+	void
+	lose_answer()
+	{
+		const struct msg *last = nullptr;
+		struct msg *m = msg_create(MSG_REPLY);
+
+		ASSERT_GT(tries(&last), 0u);
+		m->peer = last->peer;
+		m->seq = last->seq;
+		m->u.reply.failure =
+		    failure_make(VERDICT_MAY_HAVE_RUN, REASON_TARGET_FAILED);
+		m->u.reply.may_have_reached_target = true;
+		m->u.reply.allowance = last->u.forward.context.allowance;
+		handle(m);
+	}
+	/* The link breaks, and the target's daemon does not know either. */
+	void
+	lose_link()
+	{
+		const struct msg *last = nullptr;
+		struct msg *m = msg_create(MSG_LINK_DOWN);
+
+		ASSERT_GT(tries(&last), 0u);
+		m->peer = last->peer;
+		m->may_have_sent = true;
+		handle(m);
+		m = msg_create(MSG_FATE);
+		m->peer = last->peer;
+		m->u.fate.seq = last->seq;
+		m->u.fate.state = FATE_UNKNOWN;
+		handle(m);
+	}
+	/* The failure that the caller was told; REASON_NONE: none so far. */
+	struct failure
+	answer()
+	{
+		struct failure f = {VERDICT_RAN, REASON_NONE};
+		struct msg *m;
+
+		TAILQ_FOREACH (m, &out, entry) {
+			if (m->kind == MSG_ANSWER)
+				f = m->u.reply.failure;
+		}
+		return f;
+	}
+};
+
+const char *const methods[] = {
+    "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH", "BREW", ""};
+void (Entry::*const losses[])() = {&Entry::lose_answer, &Entry::lose_link};
+
+} // namespace
+
+/*
+ * Guards against a call that runs twice: a GET on a route of which the
+ * configuration says that its calls may run only once was sent to a second
+ * target after its answer was lost.  The route's type alone decides, whatever
+ * the method is and however the outcome became unknown.
+ */
+TEST(Repeat, OnlyTheTypeOfTheRouteSaysWhetherACallMayRunAgain)
+{
+	const struct {
+		std::string config;
+		bool native, may_repeat;
+	} routes[] = {
+	    {manifest(1, SAFE), false, true},
+	    {manifest(1, UNSAFE), false, false},
+	    {manifest(1, ""), false, false},
+	    {manifest(1, R"("route_type":"idempotent",)"), false, false},
+	    {manifest(1, R"("route_type":"SAFE",)"), false, false},
+	    {native_config("idempotent = yes\n"), true, true},
+	    {native_config("idempotent = no\n"), true, false},
+	    {native_config(""), true, false},
+	};
+
+	for (const auto &route : routes) {
+		for (const char *method : methods) {
+			for (auto lose : losses) {
+				Entry e(route.config, route.native);
+				const struct msg *first = nullptr;
+
+				e.call(method);
+				e.learn_members();
+				ASSERT_EQ(e.tries(&first), 1u);
+				EXPECT_EQ(first->u.forward.idempotent,
+				    route.may_repeat)
+				    << method;
+				(e.*lose)();
+				e.advance(3 * SEC_US);
+				EXPECT_EQ(e.tries(), route.may_repeat ? 2u : 1u)
+				    << method << " " << route.config;
+				if (!route.may_repeat) {
+					EXPECT_EQ(e.answer().verdict,
+					    VERDICT_MAY_HAVE_RUN)
+					    << method;
+				}
+			}
+		}
+	}
+}
+
+/* A route that becomes safe does not make an earlier call of it safe. */
+TEST(Repeat, ACallThatMayRunOnceStaysSo)
+{
+	Entry e(manifest(1, UNSAFE));
+
+	e.call("GET");
+	e.learn_members();
+	e.configure(manifest(2, SAFE));
+	e.lose_answer();
+	e.advance(3 * SEC_US);
+	EXPECT_EQ(e.tries(), 1u);
+	EXPECT_EQ(e.answer().verdict, VERDICT_MAY_HAVE_RUN);
+}
