core: ask again whether a call may run again before each try

What a caller could see: a call that ran twice although the configuration in force forbids it. Its route became "unsafe", or was dropped, while the call waited for members, for a token or for the end of a back-off.

A call may now be sent again only if both the configuration by which it was admitted and the one in force allow it; in doubt, as without a route, it may not. A call that has not run yet and that may by now run only once gets an id and a ledger record for that. A refusal after a try that may have run is no reason to go on either. The configuration is looked up again only if its version is another one.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -164,6 +164,12 @@
 	struct group *g = membership_find_or_create(n, c->service);
 	struct member *m;
 
+	if (!entry_recheck_repeat(n, c, now, &f)) {
+		if (c->may_have_run)
+			f = c->last_failure;
+		entry_fail(n, c, f.verdict, f.reason, now, out);
+		return;
+	}
 	g->last_used_us = now.mono_us;
 	if (c->context.importance == IMPORTANCE_NESTED)
 		g->recent_nested_calls += 1;
@@ -235,10 +241,16 @@
 
 /* Whether a retry is allowed, leaving retry budget and allowance aside. */
 static bool
-may_retry(const struct entry_call *c, struct failure f)
+may_retry(struct node *n, const struct entry_call *c, struct failure f)
 {
+	/* An earlier try may have run, whatever became of the last one. */
+	enum verdict verdict =
+	    c->may_have_run && f.verdict == VERDICT_NOT_RUN
+		? VERDICT_MAY_HAVE_RUN
+		: f.verdict;
+
 	return reason_is_transient(f.reason) &&
-	       verdict_may_retry(f.verdict, c->idempotent) &&
+	       verdict_may_retry(verdict, entry_may_repeat(n, c)) &&
 	       (c->max_targets == 0 || c->targets_reached < c->max_targets);
 }
 
@@ -273,12 +285,12 @@
 		c->may_have_run = true;
 	if (may_have_reached)
 		c->targets_reached++;
-	if (may_retry(c, f) && is_free_retry(n, c, may_have_reached, now)) {
+	if (may_retry(n, c, f) && is_free_retry(n, c, may_have_reached, now)) {
 		c->last_failure = f;
 		attempt_next(n, c, now, out);
 		return;
 	}
-	if (!may_retry(c, f) || c->allowance == 0 ||
+	if (!may_retry(n, c, f) || c->allowance == 0 ||
 	    !n->setup.retrier->take(
 		&membership_find_or_create(n, c->service)->budget)) {
 		entry_fail(n, c, f.verdict, f.reason, now, out);
--- a/core/entry.c
+++ b/core/entry.c
@@ -312,12 +312,33 @@
 settle_repeat(struct node *n, struct entry_call *c, const struct route *r,
     struct instant now, struct failure *f)
 {
+	c->config_version = n->conf.version;
 	c->idempotent = route_may_repeat(r);
 	c->owned = n->setup.ids_outlive_attempts && !c->idempotent &&
 		   c->call.id[0] != '\0';
 	return c->idempotent || assign_id(n, c, now, f);
 }
 
+bool
+entry_may_repeat(struct node *n, const struct entry_call *c)
+{
+	if (!c->idempotent || c->config_version == n->conf.version)
+		return c->idempotent;
+	return route_may_repeat(
+	    catalog_request_route(n->conf.catalog, &c->call.request));
+}
+
+bool
+entry_recheck_repeat(
+    struct node *n, struct entry_call *c, struct instant now, struct failure *f)
+{
+	if (entry_may_repeat(n, c) == c->idempotent)
+		return !c->may_have_run || c->idempotent;
+	if (c->may_have_run)
+		return false;
+	return settle_repeat(n, c, NULL, now, f);
+}
+
 static bool
 is_config_stale(const struct node *n, const struct route *r, struct instant now)
 {
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -83,7 +83,8 @@
 	char id[ID_LEN]; /* the caller's or a generated one; may be empty */
 	char id_dc[NAME_LEN]; /* the data centre whose members own the id */
 	uint64_t id_stamp_ms; /* the time of issue that the id carries */
-	bool idempotent;
+	bool idempotent; /* by the route, when it was admitted */
+	uint64_t config_version; /* that the route was of */
 	bool owned; /* the id is the caller's: only its owner may run it */
 	bool org_from_key; /* the caller's key determined the organisation */
 	bool rate_limited; /* counts against the organisation's rate */
@@ -297,6 +298,18 @@
     struct instant, struct msg_list *);
 /* Let the call wait in a state until until_us, at most to its deadline. */
 void entry_suspend(struct entry_call *, enum entry_state, uint64_t until_us);
+/*
+ * Whether the call may be sent once more although it may have run.  Both the
+ * configuration by which it was admitted and the one in force have to allow it.
+ */
+bool entry_may_repeat(struct node *, const struct entry_call *);
+/*
+ * Check that before a try.  A call that has not run, and that may by now run
+ * only once, gets an id for that.  Returns false, and sets *f unless the call
+ * may have run, if it cannot be sent.
+ */
+bool entry_recheck_repeat(
+    struct node *, struct entry_call *, struct instant, struct failure *f);
 /* Give the call a new id of this daemon's own. */
 void entry_generate_id(struct node *, struct entry_call *, struct instant);
 /* Send the next try, or wait, or end the call, which frees it. */
--- a/t/test-attempt.cc
+++ b/t/test-attempt.cc
@@ -476,6 +476,41 @@
 	}
 }
 
+/* The route changes while the call waits to be sent again. */
+TEST(Repeat, ACallIsNotRepeatedOnceItsRouteNoLongerAllowsIt)
+{
+	const struct {
+		std::string config;
+		bool may_repeat;
+	} changes[] = {
+	    {manifest(2, SAFE), true}, {manifest(2, UNSAFE), false},
+	    {manifest(2, ""), false},
+	    {manifest(2, SAFE, false), false}, /* the route is gone */
+	};
+
+	for (const auto &change : changes) {
+		for (bool before_loss : {true, false}) {
+			Entry e(manifest(1, SAFE));
+
+			e.call("POST");
+			e.learn_members();
+			ASSERT_EQ(e.tries(), 1u);
+			if (before_loss)
+				e.configure(change.config);
+			e.lose_answer();
+			if (!before_loss)
+				e.configure(change.config);
+			e.advance(3 * SEC_US);
+			EXPECT_EQ(e.tries(), change.may_repeat ? 2u : 1u)
+			    << change.config;
+			if (!change.may_repeat) {
+				EXPECT_EQ(
+				    e.answer().verdict, VERDICT_MAY_HAVE_RUN);
+			}
+		}
+	}
+}
+
 /* A route that becomes safe does not make an earlier call of it safe. */
 TEST(Repeat, ACallThatMayRunOnceStaysSo)
 {
@@ -489,3 +524,51 @@
 	EXPECT_EQ(e.tries(), 1u);
 	EXPECT_EQ(e.answer().verdict, VERDICT_MAY_HAVE_RUN);
 }
+
+/* The route changes before the first try, which then may run only once. */
+TEST(Repeat, ACallThatWaitsIsSentByTheTypeInForce)
+{
+	for (bool native : {false, true}) {
+		Entry e(native ? native_config("idempotent = yes\n")
+			       : manifest(1, SAFE),
+		    native);
+		const struct msg *first = nullptr;
+
+		e.call("GET");
+		ASSERT_EQ(e.tries(), 0u);
+		e.configure(native ? native_config("") : manifest(2, UNSAFE));
+		e.learn_members();
+		ASSERT_EQ(e.tries(&first), 1u);
+		EXPECT_FALSE(first->u.forward.idempotent);
+		EXPECT_STRNE(first->u.forward.id, "");
+		e.lose_answer();
+		e.advance(3 * SEC_US);
+		EXPECT_EQ(e.tries(), 1u);
+	}
+}
+
+/*
+ * The earlier of two tries may have run, the later one has not: the call may
+ * have run.
+ */
+TEST(Repeat, ARefusalAfterALostAnswerDoesNotMakeTheCallNotRun)
+{
+	Entry e(manifest(1, SAFE));
+	const struct msg *last = nullptr;
+	struct msg *m;
+
+	e.call("GET");
+	e.learn_members();
+	e.lose_answer();
+	e.advance(3 * SEC_US);
+	ASSERT_EQ(e.tries(&last), 2u);
+	e.configure(manifest(2, UNSAFE));
+	m = msg_create(MSG_REPLY);
+	m->peer = last->peer;
+	m->seq = last->seq;
+	m->u.reply.failure = failure_make(VERDICT_NOT_RUN, REASON_SHED);
+	e.handle(m);
+	e.advance(3 * SEC_US);
+	EXPECT_EQ(e.tries(), 2u);
+	EXPECT_EQ(e.answer().verdict, VERDICT_MAY_HAVE_RUN);
+}
