core: refuse a try that an earlier configuration would repeat

What a caller could see: a call that runs twice while a route becomes "unsafe". The entry daemon still has the earlier configuration and sends a call as one that may run again; its target's daemon has the later one.

The target's daemon took the entry daemon's word.

It now refuses such a try as not run, if its own configuration is the later one and has the route as one whose calls may run once. The caller gets 503 and may come back, for the time that a change takes to spread. A try by the same or a later configuration is taken as before, so that daemons of an earlier version, which widen the type by the method, go on being served during an upgrade.

--- a/core/serve.c
+++ b/core/serve.c
@@ -318,6 +318,22 @@
 	return true;
 }
 
+/*
+ * Whether the entry daemon would repeat a call that may run only once by a
+ * later configuration than it has.
+ */
+static bool
+is_repeat_outdated(const struct node *n, const struct forward *f)
+{
+	const struct route *r;
+
+	if (!f->idempotent || f->config_version >= n->conf.version ||
+	    n->conf.catalog == NULL)
+		return false;
+	r = catalog_request_route(n->conf.catalog, &f->request);
+	return r != NULL && !route_may_repeat(r);
+}
+
 /*
  * Check whether a call may run here, and make its ledger record.  The record
  * is made last, so that a call that is refused leaves none.
@@ -344,6 +360,9 @@
 	failure->reason = REASON_DEADLINE;
 	if (f->context.deadline_ms == 0)
 		return false;
+	failure->reason = REASON_STALE_CONFIG;
+	if (is_repeat_outdated(n, f))
+		return false;
 	if (f->idempotent)
 		return true;
 	if (check_ownership(n, f, now, failure) != MAY_RUN)
--- a/t/test-attempt.cc
+++ b/t/test-attempt.cc
@@ -572,3 +572,57 @@
 	EXPECT_EQ(e.tries(), 2u);
 	EXPECT_EQ(e.answer().verdict, VERDICT_MAY_HAVE_RUN);
 }
+
+/*
+ * The target's daemon has a later configuration than the entry daemon, which
+ * would repeat the call if its answer were lost.
+ */
+TEST(Repeat, ATargetsDaemonRunsNoCallThatAnEarlierConfigurationWouldRepeat)
+{
+	const struct {
+		std::string config;
+		bool idempotent;
+		uint64_t version; /* of the entry daemon */
+		bool runs;
+	} cases[] = {
+	    {manifest(2, UNSAFE), true, 1, false},
+	    {manifest(2, UNSAFE), true, 2, true}, /* of an earlier program */
+	    {manifest(2, UNSAFE), true, 3, true},
+	    {manifest(2, UNSAFE), false, 1, true},
+	    {manifest(2, SAFE), true, 1, true},
+	    {manifest(2, SAFE), false, 1, true},
+	    {manifest(2, SAFE, false), true, 1, true},
+	};
+
+	for (const auto &c : cases) {
+		Entry e(manifest(1, SAFE));
+		struct msg *m = msg_create(MSG_ANNOUNCE);
+		bool runs = false;
+
+		name_copy(m->u.announce.service, "a", NAME_LEN);
+		m->u.announce.slots = 4;
+		e.handle(m);
+		e.configure(c.config);
+		m = msg_create(MSG_FORWARD);
+		m->peer = PEER;
+		m->seq = 9;
+		name_copy(m->u.forward.service, "a", NAME_LEN);
+		name_copy(m->u.forward.id, "id", ID_LEN);
+		m->u.forward.idempotent = c.idempotent;
+		m->u.forward.config_version = c.version;
+		m->u.forward.context.deadline_ms = 500;
+		name_copy(m->u.forward.request.method, "GET", METHOD_LEN);
+		name_copy(m->u.forward.request.host, "x", HOST_LEN);
+		name_copy(m->u.forward.request.path, "/p/1", PATH_LEN);
+		e.handle(m);
+		TAILQ_FOREACH (m, &e.out, entry) {
+			runs |= m->kind == MSG_RUN;
+			if (m->kind != MSG_REPLY)
+				continue;
+			EXPECT_EQ(m->u.reply.failure.verdict, VERDICT_NOT_RUN);
+			EXPECT_EQ(
+			    m->u.reply.failure.reason, REASON_STALE_CONFIG);
+		}
+		EXPECT_EQ(runs, c.runs) << c.config << c.version;
+	}
+}
