--- a/core/attempt.c
+++ b/core/attempt.c
@@ -243,14 +243,13 @@
 static bool
 may_retry(struct node *n, const struct entry_call *c, struct failure f)
 {
-	/* An earlier try may have run, whatever became of the last one. */
-	enum verdict verdict =
-	    c->may_have_run && f.verdict == VERDICT_NOT_RUN
-		? VERDICT_MAY_HAVE_RUN
-		: f.verdict;
+	bool may_repeat = entry_may_repeat(n, c);
 
+	/* An earlier try may have run, whatever became of the last one. */
+	if (c->may_have_run && !may_repeat)
+		return false;
 	return reason_is_transient(f.reason) &&
-	       verdict_may_retry(verdict, entry_may_repeat(n, c)) &&
+	       verdict_may_retry(f.verdict, may_repeat) &&
 	       (c->max_targets == 0 || c->targets_reached < c->max_targets);
 }
 
