--- a/core/entry.c
+++ b/core/entry.c
@@ -336,6 +336,7 @@
 		return !c->may_have_run || c->idempotent;
 	if (c->may_have_run)
 		return false;
+	/* Whether the route is gone or another one now: it may run once. */
 	return settle_repeat(n, c, NULL, now, f);
 }
 
--- a/core/node_impl.h
+++ b/core/node_impl.h
@@ -8,8 +8,8 @@
  * serve.c	calls at the target's daemon: ledger, queue, limit, reply
  * fate.c	answers to MSG_ASK_FATE, ledger records of members that leave
  * local_target.c	announcements of the local target
- * target_past.c	which of its starts have ended, over restarts of the
- * daemon membership.c	groups: heartbeats, platform rows, joining and leaving
+ * target_past.c	which of its starts ended before this process began
+ * membership.c	groups: heartbeats, platform rows, joining and leaving
  * ownership.c	which member may run the ids of callers
  * leave.c	hand-over of the ledger by a member that leaves
  * confsync.c	the configuration: followed, passed on, confirmed
